--- /dev/null
+++ b/check.sh
@@ -0,0 +1,39 @@
+#!/usr/bin/env bash
+# Checks the whole workspace: format, vet, staticcheck, build, and all tests
+# with the race detector. Tests that KNOWN-RED.txt names are left out and
+# printed. It prints one line a step and exits 0 where all is well.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+modules() { sed -n 's#^\t*\(use \)*\./##p' go.work; }
+
+# known_red prints the names of the tests in KNOWN-RED.txt, joined for -skip.
+known_red() {
+	[ -f KNOWN-RED.txt ] || return 0
+	sed -n 's/^Test: *//p' KNOWN-RED.txt | paste -sd'|' -
+}
+
+step() { printf '== %s\n' "$*"; }
+
+step gofmt
+bad=$(git ls-files '*.go' | xargs gofmt -l)
+[ -z "$bad" ] || { echo "not formatted:"; echo "$bad"; exit 1; }
+
+packages=()
+for m in $(modules); do packages+=("./$m/..."); done
+
+step vet
+go vet "${packages[@]}"
+step staticcheck
+go tool staticcheck "${packages[@]}"
+step build
+go build "${packages[@]}"
+
+red=$(known_red)
+if [ -n "$red" ]; then
+	step "known red, left out"
+	cat KNOWN-RED.txt
+fi
+step test
+go test -race -timeout 8m ${red:+-skip "$red"} "${packages[@]}"
+step ok
--- /dev/null
+++ b/mwlib/mwconfig/decode.go
@@ -0,0 +1,118 @@
+package mwconfig
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"strings"
+
+	"mustardwheel.example/mwlib/mwcode"
+)
+
+// Decode reads the documents that stand one after the other in r. File names
+// r in errors. Every bad document is reported, joined by errors.Join.
+func Decode(file string, r io.Reader) ([]Document, error) {
+	dec := json.NewDecoder(r)
+	dec.DisallowUnknownFields()
+	var docs []Document
+	var errs []error
+	for {
+		var d Document
+		err := dec.Decode(&d)
+		if errors.Is(err, io.EOF) {
+			return docs, errors.Join(errs...)
+		}
+		if err != nil {
+			errs = append(errs, jsonError(file, "", err))
+			return docs, errors.Join(errs...)
+		}
+		if _, err := d.decodeSpec(file); err != nil {
+			errs = append(errs, err)
+			continue
+		}
+		docs = append(docs, d)
+	}
+}
+
+// spec is the decoded Spec of a Document: *CallerLabel, *RequestLabel,
+// *ServerLabel, *Selector or *Policy.
+type spec interface{ check() []problem }
+
+// newSpec returns an empty spec of kind k, or nil.
+func newSpec(k Kind) spec {
+	switch k {
+	case KindCallerLabel:
+		return &CallerLabel{}
+	case KindRequestLabel:
+		return &RequestLabel{}
+	case KindServerLabel:
+		return &ServerLabel{}
+	case KindSelector:
+		return &Selector{}
+	case KindPolicy:
+		return &Policy{}
+	}
+	return nil
+}
+
+// decodeSpec decodes and checks the Spec of d by itself.
+func (d Document) decodeSpec(file string) (spec, error) {
+	s := newSpec(d.Kind)
+	if s == nil {
+		return nil, mwcode.New(mwcode.UnknownKind, mwcode.File(file), mwcode.Field("Kind"),
+			mwcode.Expected("one of "+kindList()+", not "+string(d.Kind)))
+	}
+	if d.Name == "" {
+		return nil, mwcode.New(mwcode.BadValue, mwcode.File(file), mwcode.Field("Name"),
+			mwcode.Expected("a name"))
+	}
+	dec := json.NewDecoder(bytes.NewReader(d.Spec))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(s); err != nil {
+		return nil, jsonError(file, d.path(""), err)
+	}
+	var errs []error
+	for _, p := range s.check() {
+		errs = append(errs, mwcode.New(p.code, mwcode.File(file),
+			mwcode.Field(d.path(p.field)), mwcode.Expected(p.expected)))
+	}
+	return s, errors.Join(errs...)
+}
+
+// path returns "Kind/Name.field" for use in errors.
+func (d Document) path(field string) string {
+	p := string(d.Kind) + "/" + string(d.Name)
+	if field != "" {
+		p += "." + field
+	}
+	return p
+}
+
+func kindList() string {
+	var ks []string
+	for _, k := range Kinds() {
+		ks = append(ks, string(k))
+	}
+	return strings.Join(ks, ", ")
+}
+
+// unknownFieldText is how encoding/json starts its error for a field that
+// the struct does not have; it has no type for it.
+const unknownFieldText = "json: unknown field "
+
+// jsonError turns an error of encoding/json into one with a code.
+func jsonError(file, field string, err error) error {
+	if name, ok := strings.CutPrefix(err.Error(), unknownFieldText); ok {
+		return mwcode.New(mwcode.UnknownField, mwcode.File(file),
+			mwcode.Field(strings.Trim(field+"."+strings.Trim(name, `"`), ".")),
+			mwcode.Expected("a field that docs/SETTINGS.md names"))
+	}
+	var te *json.UnmarshalTypeError
+	if errors.As(err, &te) {
+		return mwcode.New(mwcode.BadValue, mwcode.File(file),
+			mwcode.Field(strings.Trim(field+"."+te.Field, ".")),
+			mwcode.Expected(te.Type.String()+", not "+te.Value))
+	}
+	return mwcode.New(mwcode.BadDocument, mwcode.File(file), mwcode.Field(field), mwcode.Wrap(err))
+}
--- /dev/null
+++ b/mwlib/mwconfig/document.go
@@ -0,0 +1,146 @@
+// Package mwconfig holds the configuration that operators write: documents,
+// their checks, and the snapshot that they are compiled to.
+package mwconfig
+
+import (
+	"encoding/json"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwlabel"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Kind is the kind of a document.
+type Kind string
+
+// Kinds of documents.
+const (
+	// KindCallerLabel gives labels to callers.
+	KindCallerLabel Kind = "CallerLabel"
+	// KindRequestLabel gives labels to requests.
+	KindRequestLabel Kind = "RequestLabel"
+	// KindServerLabel gives labels to backend servers.
+	KindServerLabel Kind = "ServerLabel"
+	// KindSelector groups callers, requests or backend servers.
+	KindSelector Kind = "Selector"
+	// KindPolicy says how selected calls are treated.
+	KindPolicy Kind = "Policy"
+)
+
+// Kinds returns every Kind.
+func Kinds() []Kind {
+	return []Kind{KindCallerLabel, KindRequestLabel, KindServerLabel, KindSelector, KindPolicy}
+}
+
+// DocumentName is the name of a document, unique within its Kind.
+type DocumentName string
+
+// Document is one object of the configuration as operators write it. Spec
+// holds the JSON of the struct that belongs to Kind.
+type Document struct {
+	Kind Kind
+	Name DocumentName
+	Spec json.RawMessage
+}
+
+// CallerLabel gives Labels to the callers named.
+type CallerLabel struct {
+	Callers []mwid.CallerName
+	Labels  mwlabel.Set
+}
+
+// RequestLabel gives Labels to the requests that meet all conditions given.
+// An empty condition is met by all.
+type RequestLabel struct {
+	Service    mwid.ServiceName `json:",omitempty"`
+	Method     string           `json:",omitempty"`
+	PathPrefix string           `json:",omitempty"`
+	Labels     mwlabel.Set
+}
+
+// ServerLabel gives Labels to the backend servers that meet all conditions
+// given. An empty condition is met by all.
+type ServerLabel struct {
+	Service mwid.ServiceName `json:",omitempty"`
+	Zone    mwid.ZoneName    `json:",omitempty"`
+	Address mwid.Address     `json:",omitempty"`
+	Labels  mwlabel.Set
+}
+
+// Subject says what a selector groups.
+type Subject string
+
+// Subjects of selectors.
+const (
+	OnCaller  Subject = "Caller"
+	OnRequest Subject = "Request"
+	OnServer  Subject = "Server"
+)
+
+// Selector groups what meets all Terms, all selectors of All, at least one
+// of Any (where given) and none of None.
+type Selector struct {
+	On    Subject
+	Terms mwlabel.Selector `json:",omitempty"`
+	All   []DocumentName   `json:",omitempty"`
+	Any   []DocumentName   `json:",omitempty"`
+	None  []DocumentName   `json:",omitempty"`
+}
+
+// Length classes of work.
+type Length string
+
+// Length classes.
+const (
+	LengthUnset Length = ""
+	Short       Length = "Short"
+	Medium      Length = "Medium"
+	Long        Length = "Long"
+)
+
+// Retired marks the selected calls as calls on the retired interface. Each
+// target serves at least Floor of them at the same time while they are
+// there, and never more than Ceiling.
+type Retired struct {
+	Floor   mwunit.Slots
+	Ceiling mwunit.Slots
+}
+
+// Policy says how the calls are treated whose caller, request and backend
+// server meet the selectors named; an empty selector name is met by all.
+// Where several policies apply, each field is taken from the one with the
+// greatest Rank that sets it; equal ranks go by name.
+type Policy struct {
+	Rank       int                `json:",omitempty"`
+	Callers    DocumentName       `json:",omitempty"`
+	Requests   DocumentName       `json:",omitempty"`
+	Servers    DocumentName       `json:",omitempty"`
+	Importance *mwunit.Importance `json:",omitempty"`
+	Repeatable *bool              `json:",omitempty"`
+	Length     Length             `json:",omitempty"`
+	Retired    *Retired           `json:",omitempty"`
+	// Retries is the retry budget of a root call, for its whole chain.
+	Retries *mwunit.Attempts `json:",omitempty"`
+	// Deadline is the time that a root call has without one of its own.
+	Deadline Duration `json:",omitempty"`
+	// CallerRatio is the greatest part of a caller's calls that may be its
+	// own resubmissions.
+	CallerRatio *mwunit.Ratio `json:",omitempty"`
+}
+
+// Duration is a time.Duration that documents write as a string such as
+// "1.5s".
+type Duration time.Duration
+
+// MarshalText writes d as time.Duration does.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
+
+// UnmarshalText reads what time.ParseDuration accepts.
+func (d *Duration) UnmarshalText(b []byte) error {
+	v, err := time.ParseDuration(string(b))
+	*d = Duration(v)
+	return err
+}
--- /dev/null
+++ b/mwlib/mwconfig/snapshot.go
@@ -0,0 +1,244 @@
+package mwconfig
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwlabel"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Snapshot is the compiled configuration of one version. It never changes,
+// so one call keeps one Snapshot from its start to its end and many calls
+// read it without a lock. Compile resolves selectors to flat conditions once,
+// since a call has microseconds and a change of configuration has seconds.
+type Snapshot struct {
+	version  mwid.Version
+	docs     []Document
+	callers  map[mwid.CallerName]mwlabel.Set
+	requests []RequestLabel
+	servers  []ServerLabel
+	policies []policy
+}
+
+// policy is a Policy with its selectors resolved.
+type policy struct {
+	Policy
+	name     DocumentName
+	callers  matcher
+	requests matcher
+	servers  matcher
+}
+
+// Request is what selectors see of one request.
+type Request struct {
+	Caller  mwid.CallerName
+	Service mwid.ServiceName
+	Method  string
+	Path    string
+}
+
+// Server is what selectors see of one backend server.
+type Server struct {
+	Service mwid.ServiceName
+	Zone    mwid.ZoneName
+	Address mwid.Address
+	Labels  mwlabel.Set
+}
+
+// Verdict is what the configuration says of one call.
+type Verdict struct {
+	Importance  mwunit.Importance
+	Repeatable  bool
+	Length      Length
+	Retired     DocumentName // Retired is the policy's name, empty where not retired.
+	Floor       mwunit.Slots
+	Ceiling     mwunit.Slots
+	Retries     mwunit.Attempts
+	Deadline    time.Duration
+	CallerRatio mwunit.Ratio
+	Matched     []DocumentName // Matched names the policies that applied, strongest first.
+}
+
+// Defaults of a call that no policy speaks of. A call is taken for work that
+// must not repeat until an operator says otherwise.
+const (
+	DefaultImportance  mwunit.Importance = 50
+	DefaultRetries     mwunit.Attempts   = 1
+	DefaultDeadline                      = 10 * time.Second
+	DefaultCallerRatio mwunit.Ratio      = 0.2
+)
+
+// Compile checks docs together and returns their Snapshot at version v.
+func Compile(v mwid.Version, docs []Document) (*Snapshot, error) {
+	s := &Snapshot{version: v, docs: slices.Clone(docs), callers: make(map[mwid.CallerName]mwlabel.Set)}
+	slices.SortFunc(s.docs, compareDocuments)
+	specs, err := decodeAll(s.docs)
+	if err != nil {
+		return nil, err
+	}
+	res := newResolver(s.docs, specs)
+	var errs []error
+	for i, d := range s.docs {
+		errs = append(errs, s.add(d, specs[i], res))
+	}
+	slices.SortStableFunc(s.policies, func(a, b policy) int { return b.Rank - a.Rank })
+	return s, errors.Join(errs...)
+}
+
+func compareDocuments(a, b Document) int {
+	if c := strings.Compare(string(a.Kind), string(b.Kind)); c != 0 {
+		return c
+	}
+	return strings.Compare(string(a.Name), string(b.Name))
+}
+
+func decodeAll(docs []Document) ([]spec, error) {
+	specs := make([]spec, len(docs))
+	var errs []error
+	for i, d := range docs {
+		s, err := d.decodeSpec("")
+		specs[i] = s
+		errs = append(errs, err)
+		if i > 0 && compareDocuments(docs[i-1], d) == 0 {
+			errs = append(errs, mwcode.New(mwcode.DuplicateName, mwcode.Field(d.path("")),
+				mwcode.Expected("one document of each kind and name")))
+		}
+	}
+	return specs, errors.Join(errs...)
+}
+
+// add adds one decoded document to s.
+func (s *Snapshot) add(d Document, sp spec, res *resolver) error {
+	switch t := sp.(type) {
+	case *CallerLabel:
+		for _, c := range t.Callers {
+			s.callers[c] = s.callers[c].Merge(t.Labels)
+		}
+	case *RequestLabel:
+		s.requests = append(s.requests, *t)
+	case *ServerLabel:
+		s.servers = append(s.servers, *t)
+	case *Selector:
+		_, err := res.resolve(d, "", d.Name, t.On)
+		return err
+	case *Policy:
+		return s.addPolicy(d, t, res)
+	}
+	return nil
+}
+
+func (s *Snapshot) addPolicy(d Document, t *Policy, res *resolver) error {
+	p := policy{Policy: *t, name: d.Name}
+	var errs [3]error
+	p.callers, errs[0] = res.resolve(d, "Callers", t.Callers, OnCaller)
+	p.requests, errs[1] = res.resolve(d, "Requests", t.Requests, OnRequest)
+	p.servers, errs[2] = res.resolve(d, "Servers", t.Servers, OnServer)
+	s.policies = append(s.policies, p)
+	return errors.Join(errs[:]...)
+}
+
+// Version returns the version of s.
+func (s *Snapshot) Version() mwid.Version { return s.version }
+
+// Documents returns the documents of s ordered by kind and name; the caller
+// must not change them.
+func (s *Snapshot) Documents() []Document { return s.docs }
+
+// RequestLabels returns the labels of r.
+func (s *Snapshot) RequestLabels(r Request) mwlabel.Set {
+	var ls mwlabel.Set
+	for i := range s.requests {
+		if t := &s.requests[i]; t.matches(r) {
+			ls = ls.Merge(t.Labels)
+		}
+	}
+	return ls
+}
+
+func (t *RequestLabel) matches(r Request) bool {
+	return (t.Service == "" || t.Service == r.Service) &&
+		(t.Method == "" || t.Method == r.Method) &&
+		strings.HasPrefix(r.Path, t.PathPrefix)
+}
+
+// CallerLabels returns the labels of c.
+func (s *Snapshot) CallerLabels(c mwid.CallerName) mwlabel.Set { return s.callers[c] }
+
+// ServerLabels returns the labels that v announced and, over them, those
+// that operators gave it.
+func (s *Snapshot) ServerLabels(v Server) mwlabel.Set {
+	ls := v.Labels
+	for i := range s.servers {
+		if t := &s.servers[i]; t.matches(v) {
+			ls = ls.Merge(t.Labels)
+		}
+	}
+	return ls
+}
+
+func (t *ServerLabel) matches(v Server) bool {
+	return (t.Service == "" || t.Service == v.Service) &&
+		(t.Zone == "" || t.Zone == v.Zone) &&
+		(t.Address == "" || t.Address == v.Address)
+}
+
+// Judge returns what s says of request r at backend server v.
+func (s *Snapshot) Judge(r Request, v Server) Verdict {
+	cl, rl, sl := s.CallerLabels(r.Caller), s.RequestLabels(r), s.ServerLabels(v)
+	j := judgement{Verdict: Verdict{
+		Importance: DefaultImportance, Length: Short, Retries: DefaultRetries,
+		Deadline: DefaultDeadline, CallerRatio: DefaultCallerRatio,
+	}}
+	for i := range s.policies {
+		p := &s.policies[i]
+		if p.callers.matches(cl) && p.requests.matches(rl) && p.servers.matches(sl) {
+			j.apply(p)
+		}
+	}
+	return j.Verdict
+}
+
+// judgement is a Verdict in the making; the flags tell what is settled.
+type judgement struct {
+	Verdict
+	importance, repeatable, length, retired, retries, deadline, ratio bool
+}
+
+// settle sets *to to *from where from is given and *done is not yet set.
+func settle[T any](to *T, done *bool, from *T) {
+	if from == nil || *done {
+		return
+	}
+	*to = *from
+	*done = true
+}
+
+func (j *judgement) apply(p *policy) {
+	j.Matched = append(j.Matched, p.name)
+	settle(&j.Importance, &j.importance, p.Importance)
+	settle(&j.Repeatable, &j.repeatable, p.Repeatable)
+	settle(&j.Retries, &j.retries, p.Retries)
+	settle(&j.CallerRatio, &j.ratio, p.CallerRatio)
+	if p.Length != LengthUnset {
+		settle(&j.Length, &j.length, &p.Length)
+	}
+	if p.Deadline > 0 {
+		d := time.Duration(p.Deadline)
+		settle(&j.Deadline, &j.deadline, &d)
+	}
+	if p.Retired != nil && !j.retired {
+		j.retired = true
+		j.Retired, j.Floor, j.Ceiling = p.name, p.Retired.Floor, p.Retired.Ceiling
+	}
+}
+
+// String returns a short description of s for logs.
+func (s *Snapshot) String() string {
+	return fmt.Sprintf("version %d, %d documents", s.version, len(s.docs))
+}
--- /dev/null
+++ b/mwlib/mwid/id.go
@@ -0,0 +1,84 @@
+// Package mwid names every identifier of the system with a type of its own,
+// so that a service can never be passed where a node is meant.
+package mwid
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+)
+
+// NodeID identifies one life of one node: the address of its VM and the boot
+// id of the process, joined by "#". A replaced VM at the same address has
+// another NodeID.
+type NodeID string
+
+// BootID identifies one start of a node's process.
+type BootID string
+
+// Address is "IP:port", with a numeric IP.
+type Address string
+
+// ServiceName names a service of the call graph.
+type ServiceName string
+
+// ZoneName names an availability zone.
+type ZoneName string
+
+// RegionName names a region, which holds availability zones.
+type RegionName string
+
+// CallerName names a caller.
+type CallerName string
+
+// RootID identifies the whole request that a call belongs to; every hop of
+// one request carries the same RootID.
+type RootID string
+
+// AttemptID identifies one attempt to run one call.
+type AttemptID string
+
+// CallKey is the caller's key of work that must not be repeated.
+type CallKey string
+
+// OperationID identifies one change that an operator asked for, over all of
+// its tries.
+type OperationID string
+
+// OperatorName names who asked for a change.
+type OperatorName string
+
+// Route is the kind of a call within its service: method and path prefix.
+type Route string
+
+// Version is the global version of the configuration; it only grows.
+type Version uint64
+
+// Revision is the revision of one row of the table; 0 means "no row".
+type Revision uint64
+
+// NewNodeID returns the NodeID of the process boot on the VM at addr.
+func NewNodeID(addr Address, boot BootID) NodeID {
+	return NodeID(string(addr) + "#" + string(boot))
+}
+
+// NewBootID returns a random BootID.
+func NewBootID() BootID { return BootID(random()) }
+
+// NewRootID returns a random RootID.
+func NewRootID() RootID { return RootID(random()) }
+
+// NewAttemptID returns a random AttemptID.
+func NewAttemptID() AttemptID { return AttemptID(random()) }
+
+// NewOperationID returns a random OperationID.
+func NewOperationID() OperationID { return OperationID(random()) }
+
+// randomBytes is the length of a random identifier in bytes.
+const randomBytes = 8
+
+// random returns randomBytes random bytes in hexadecimal digits.
+func random() string {
+	var b [randomBytes]byte
+	rand.Read(b[:]) // crypto/rand.Read never returns an error.
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/mwlib/mwkernel/exchange.go
@@ -0,0 +1,41 @@
+package mwkernel
+
+import (
+	"context"
+
+	"mustardwheel.example/mwlib/mwcall"
+)
+
+// Exchange carries one call. A front end implements it for its encoding; the
+// kernel tells it where the call goes.
+type Exchange interface {
+	// Forward sends c, with the budget c.Budget, to the node of t and
+	// returns when the head of its answer is there. An error has a code that
+	// tells whether the call may have run. Forward may be called again, also
+	// while another one runs, where Resendable was true.
+	Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (Answer, error)
+	// Deliver hands c to the backend server announced by a.
+	Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (Answer, error)
+	// Replay returns the answer kept in k.
+	Replay(k mwcall.Kept) (Answer, error)
+	// Resendable tells whether the request is still whole.
+	Resendable() bool
+	// Refuse answers the caller with err, whose code goes along, and h.
+	Refuse(err error, h mwcall.Head)
+}
+
+// Answer is an answer whose head is there. Exactly one of Send and Drop must
+// be called.
+type Answer interface {
+	// Head returns the head of the answer.
+	Head() mwcall.Head
+	// Send sends the answer to the caller with h as its head. It returns
+	// nil only where the whole answer went out; else the caller sees a
+	// broken answer.
+	Send(h mwcall.Head) error
+	// Kept returns the answer for later asks; ok is false where it was not
+	// sent whole or is too large, and then Kept has what can be said of it.
+	Kept() (k mwcall.Kept, ok bool)
+	// Drop ends the exchange without an answer to the caller.
+	Drop()
+}
--- /dev/null
+++ b/mwlib/mwkernel/plugin.go
@@ -0,0 +1,52 @@
+package mwkernel
+
+import "mustardwheel.example/mwlib/mwregistry"
+
+// makePlugins makes the plug-ins that the settings name, in the order that
+// Env promises.
+func (k *Kernel) makePlugins(env Env, e *ends) error {
+	use := env.Settings.Plugins
+	if env.Store == nil && env.Settings.Store.Address != "" {
+		if err := makePlugin(Stores, use.Store, env, &env.Store, e); err != nil {
+			return err
+		}
+	}
+	k.store = env.Store
+	if err := makePlugin(Memberships, use.Membership, env, &env.Membership, e); err != nil {
+		return err
+	}
+	k.member = env.Membership
+	if err := makePlugin(Configurations, use.Configuration, env, &env.Configuration, e); err != nil {
+		return err
+	}
+	k.config = env.Configuration
+	return k.makeDecisions(env, e)
+}
+
+func (k *Kernel) makeDecisions(env Env, e *ends) error {
+	use := env.Settings.Plugins
+	if err := makePlugin(Classifiers, use.Classifier, env, &k.class, e); err != nil {
+		return err
+	}
+	if err := makePlugin(Admissions, use.Admission, env, &k.admit, e); err != nil {
+		return err
+	}
+	if err := makePlugin(Routers, use.Router, env, &k.router, e); err != nil {
+		return err
+	}
+	if err := makePlugin(RetryPolicies, use.Retry, env, &k.retry, e); err != nil {
+		return err
+	}
+	return makePlugin(Ledgers, use.Ledger, env, &k.ledger, e)
+}
+
+// makePlugin makes plug-in n of r into *to and adds its clean-up to e.
+func makePlugin[T any](r *mwregistry.Registry[Env, T], n mwregistry.Name, env Env, to *T, e *ends) error {
+	v, end, err := r.Make(n, env)
+	if err != nil {
+		return err
+	}
+	*to = v
+	e.add(end)
+	return nil
+}
--- /dev/null
+++ b/mwlib/mwkernel/refusal.go
@@ -0,0 +1,36 @@
+package mwkernel
+
+import (
+	"errors"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+)
+
+// Refusal is the error of a call that a node refused or lost, with the head
+// that came with it.
+type Refusal struct {
+	Head mwcall.Head
+	Err  *mwcode.Error
+}
+
+// Error returns the text of r.Err.
+func (r *Refusal) Error() string { return r.Err.Error() }
+
+// Unwrap returns r.Err.
+func (r *Refusal) Unwrap() error { return r.Err }
+
+// refuse returns a Refusal with code c.
+func refuse(c mwcode.Code, h mwcall.Head) error {
+	h.Code = c
+	return &Refusal{Head: h, Err: mwcode.New(c)}
+}
+
+// RefusalOf returns the head of the Refusal that err is or wraps.
+func RefusalOf(err error) (mwcall.Head, bool) {
+	var r *Refusal
+	if errors.As(err, &r) {
+		return r.Head, true
+	}
+	return mwcall.Head{}, false
+}
--- /dev/null
+++ b/mwlib/mwkernel/serve.go
@@ -0,0 +1,220 @@
+package mwkernel
+
+import (
+	"context"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// serveHere serves a call that another node sent to this one.
+func (k *Kernel) serveHere(ctx context.Context, c *mwcall.Call, ex Exchange) {
+	s, ok := k.snapshot()
+	k.classify(c, s, ok)
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	ans, err := k.deliver(ctx, c, ex)
+	if err != nil {
+		h, _ := RefusalOf(err)
+		h.Code = mwcode.Of(err)
+		k.stat.refused(h.Code)
+		ex.Refuse(err, h)
+		return
+	}
+	if err := ans.Send(ans.Head()); err != nil {
+		k.stat.cut.Inc()
+	}
+}
+
+// deliver takes c to this VM's backend server: it is admitted, claimed where
+// it must not repeat, handed over, and its slot is freed when the answer is
+// sent or dropped.
+func (k *Kernel) deliver(ctx context.Context, c *mwcall.Call, ex Exchange) (Answer, error) {
+	if k.life.isLeaving() {
+		return nil, refuse(mwcode.Draining, mwcall.Head{Unused: c.Budget, Elsewhere: true})
+	}
+	a, ok := k.backends.get(c.Service)
+	if !ok {
+		return nil, refuse(mwcode.NoBackend, mwcall.Head{Unused: c.Budget, Elsewhere: true})
+	}
+	if a.Leaving {
+		return nil, refuse(mwcode.Draining, mwcall.Head{Unused: c.Budget, Elsewhere: true})
+	}
+	queued := time.Now()
+	release, err := k.admit.Admit(ctx, c)
+	if err != nil {
+		return nil, refuse(mwcode.Of(err), k.refusalHead(c, err))
+	}
+	p := &passage{k: k, c: c, release: release, wait: time.Since(queued)}
+	ans, err := p.run(ctx, ex, a)
+	if err != nil {
+		p.end(mwcode.Of(err), false, ctx.Err() != nil)
+		return nil, err
+	}
+	return ans, nil
+}
+
+// refusalHead returns the head of a refusal by admission.
+func (k *Kernel) refusalHead(c *mwcall.Call, err error) mwcall.Head {
+	code := mwcode.Of(err)
+	return mwcall.Head{
+		Unused:    c.Budget,
+		Elsewhere: code != mwcode.DeadlinePassed && code != mwcode.CallerGone,
+		Threshold: k.admit.Load(c.Service).Threshold,
+	}
+}
+
+// passage is one admitted call at its backend server.
+type passage struct {
+	k       *Kernel
+	c       *mwcall.Call
+	claim   Claim
+	release Release
+	wait    time.Duration
+	start   time.Time
+	first   time.Duration
+}
+
+// run claims c where it must not repeat, and hands it over.
+func (p *passage) run(ctx context.Context, ex Exchange, a mwcall.Announcement) (Answer, error) {
+	if ans, err := p.claimed(ctx, ex); ans != nil || err != nil {
+		return ans, err
+	}
+	if ctx.Err() != nil {
+		p.unrun()
+		return nil, refuse(mwcode.Of(contextError(ctx)), mwcall.Head{Unused: p.c.Budget})
+	}
+	if p.claim != nil {
+		if err := p.claim.Begin(); err != nil {
+			return nil, refuse(mwcode.Of(err), mwcall.Head{Unused: p.c.Budget})
+		}
+	}
+	p.k.accounts.open(p.c)
+	p.start = time.Now()
+	ans, err := ex.Deliver(ctx, p.c, a)
+	p.first = time.Since(p.start)
+	unused := p.k.accounts.close(p.c.Attempt)
+	if err != nil {
+		return nil, p.failed(err, unused)
+	}
+	return &delivered{Answer: ans, p: p, unused: unused}, nil
+}
+
+// claimed claims c. It returns an answer where an earlier attempt's is kept.
+func (p *passage) claimed(ctx context.Context, ex Exchange) (Answer, error) {
+	if p.c.Class.Repeatable {
+		return nil, nil
+	}
+	if p.c.Key == "" {
+		if !p.k.set.Claim.KeyRequired {
+			return nil, nil
+		}
+		return nil, refuse(mwcode.NoKey, mwcall.Head{Unused: p.c.Budget})
+	}
+	claim, err := p.k.ledger.Claim(ctx, p.c)
+	if err != nil {
+		return nil, refuse(mwcode.Of(err), mwcall.Head{Unused: p.c.Budget})
+	}
+	kept, ok := claim.Kept()
+	if !ok {
+		p.claim = claim
+		return nil, nil
+	}
+	ans, err := ex.Replay(kept)
+	if err != nil {
+		return nil, refuse(mwcode.Held, mwcall.Head{})
+	}
+	return &delivered{Answer: ans, p: p, unused: p.c.Budget}, nil
+}
+
+// failed turns the error of a hand-over into a Refusal.
+func (p *passage) failed(err error, unused mwunit.Attempts) error {
+	code := mwcode.Of(err)
+	if code.NotRun() {
+		p.unrun()
+		unused = p.c.Budget
+	}
+	return refuse(code, mwcall.Head{Unused: unused, Elsewhere: true})
+}
+
+// unrunTimeout bounds the write that tells that a claimed call did not run.
+const unrunTimeout = 2 * time.Second
+
+// unrun writes down that the claimed call did not run. The caller's own
+// context may be done, so the write has one of its own.
+func (p *passage) unrun() {
+	if p.claim == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), unrunTimeout)
+	defer cancel()
+	if err := p.claim.NotRun(ctx); err != nil {
+		p.k.log.Warn("claim not released", "Key", p.c.Key, "Error", err)
+	}
+}
+
+// end frees the slot and notes what was seen.
+func (p *passage) end(code mwcode.Code, failed, cancelled bool) {
+	s := mwcall.Sample{Wait: p.wait, First: p.first, Code: code, Failed: failed, Cancelled: cancelled}
+	if !p.start.IsZero() {
+		s.Took = time.Since(p.start)
+	}
+	p.release(s)
+	if s.Took > 0 && code == mwcode.OK {
+		p.k.class.Observe(p.c, s)
+	}
+}
+
+// delivered is the answer of this VM's backend server.
+type delivered struct {
+	Answer
+	p      *passage
+	unused mwunit.Attempts
+}
+
+// Head returns the head of the answer with the unused budget and the present
+// threshold.
+func (d *delivered) Head() mwcall.Head {
+	h := d.Answer.Head()
+	h.Unused = d.unused
+	h.Threshold = d.p.k.admit.Load(d.p.c.Service).Threshold
+	return h
+}
+
+// Send sends the answer, frees the slot and keeps the answer where it was
+// claimed.
+func (d *delivered) Send(h mwcall.Head) error {
+	err := d.Answer.Send(h)
+	code := mwcode.OK
+	if err != nil {
+		code = mwcode.AnswerCut
+	}
+	d.p.end(code, h.Failed, err != nil)
+	if d.p.claim != nil {
+		d.keep()
+	}
+	return err
+}
+
+// keepTimeout bounds the write of a kept answer.
+const keepTimeout = 5 * time.Second
+
+func (d *delivered) keep() {
+	k, ok := d.Answer.Kept()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+	defer cancel()
+	if err := d.p.claim.Finish(ctx, k); err != nil {
+		d.p.k.log.Warn("answer not kept", "Key", d.p.c.Key, "Error", err)
+	}
+}
+
+// Drop drops the answer and frees the slot.
+func (d *delivered) Drop() {
+	d.Answer.Drop()
+	d.p.end(d.Answer.Head().Code, d.Answer.Head().Failed, true)
+}
--- /dev/null
+++ b/mwlib/mwkernel/stat.go
@@ -0,0 +1,31 @@
+package mwkernel
+
+import (
+	"fmt"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mustardwheel.example/mwlib/mwcode"
+)
+
+// stats are the counters of the path of a call.
+type stats struct {
+	set     *metrics.Set
+	retries *metrics.Counter
+	hedges  *metrics.Counter
+	cut     *metrics.Counter
+}
+
+func newStats(s *metrics.Set) *stats {
+	return &stats{
+		set:     s,
+		retries: s.GetOrCreateCounter("mw_retries_total"),
+		hedges:  s.GetOrCreateCounter("mw_hedges_total"),
+		cut:     s.GetOrCreateCounter("mw_answers_cut_total"),
+	}
+}
+
+// refused counts one call that ended with code c.
+func (s *stats) refused(c mwcode.Code) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`mw_refusals_total{code="%d"}`, int(c))).Inc()
+}
--- /dev/null
+++ b/mwlib/mwsetting/node.go
@@ -0,0 +1,97 @@
+// Package mwsetting holds the settings of a node: flags of the command line
+// with an environment variable each, read by go-flags.
+package mwsetting
+
+import (
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Node is all settings of a node, in groups.
+type Node struct {
+	Place   Place   `group:"Place" namespace:"" env-namespace:"MW"`
+	Listen  Listen  `group:"Listeners" env-namespace:"MW"`
+	Plugins Plugins `group:"Plug-ins" namespace:"use" env-namespace:"MW_USE"`
+	Store   Store   `group:"Store" namespace:"store" env-namespace:"MW_STORE"`
+	Member  Member  `group:"Membership" namespace:"member" env-namespace:"MW_MEMBER"`
+	Admit   Admit   `group:"Admission" namespace:"admit" env-namespace:"MW_ADMIT"`
+	Route   Route   `group:"Routing" namespace:"route" env-namespace:"MW_ROUTE"`
+	Retry   Retry   `group:"Retries" namespace:"retry" env-namespace:"MW_RETRY"`
+	Claim   Claim   `group:"Claims" namespace:"claim" env-namespace:"MW_CLAIM"`
+	Relay   Relay   `group:"Relay" namespace:"relay" env-namespace:"MW_RELAY"`
+}
+
+// Place tells where the node stands.
+type Place struct {
+	Zone   mwid.ZoneName   `long:"zone" env:"ZONE" description:"availability zone of this VM" required:"true"`
+	Region mwid.RegionName `long:"region" env:"REGION" description:"region of the availability zone" required:"true"`
+}
+
+// Listen holds the addresses of the listeners, "IP:port" each.
+type Listen struct {
+	Entry mwid.Address `long:"entry" env:"ENTRY" default:"127.0.0.1:7000" description:"address for callers, IP:port"`
+	Local mwid.Address `long:"local" env:"LOCAL" default:"127.0.0.1:7001" description:"loopback address for this VM's backend server, IP:port"`
+	Peer  mwid.Address `long:"peer" env:"PEER" default:"127.0.0.1:7002" description:"address for other nodes, IP:port"`
+	Admin mwid.Address `long:"admin" env:"ADMIN" default:"127.0.0.1:7003" description:"loopback address for operators: status, metrics, health, IP:port"`
+	Pprof bool         `long:"pprof" env:"PPROF" description:"serve profiles on the admin listener"`
+
+	CertFile string `long:"tls-cert" env:"TLS_CERT" description:"certificate file, PEM, for the entry listener; empty is plain HTTP"`
+	KeyFile  string `long:"tls-key" env:"TLS_KEY" description:"key file, PEM, of --tls-cert"`
+}
+
+// Plugins names the plug-in of each extension point.
+type Plugins struct {
+	Store         mwregistry.Name `long:"store" env:"STORE" default:"http" description:"store client"`
+	Membership    mwregistry.Name `long:"membership" env:"MEMBERSHIP" default:"gossip" description:"membership"`
+	Configuration mwregistry.Name `long:"configuration" env:"CONFIGURATION" default:"fanout" description:"source of the configuration"`
+	Classifier    mwregistry.Name `long:"classifier" env:"CLASSIFIER" default:"history" description:"classifier"`
+	Admission     mwregistry.Name `long:"admission" env:"ADMISSION" default:"adaptive" description:"admission"`
+	Router        mwregistry.Name `long:"router" env:"ROUTER" default:"cost" description:"router"`
+	Retry         mwregistry.Name `long:"retry" env:"RETRY" default:"chain" description:"retry policy"`
+	Ledger        mwregistry.Name `long:"ledger" env:"LEDGER" default:"table" description:"ledger of claims"`
+}
+
+// Store says how the platform's store is reached.
+type Store struct {
+	Address mwid.Address  `long:"address" env:"ADDRESS" description:"address of the platform's store, IP:port; empty runs without"`
+	Timeout time.Duration `long:"timeout" env:"TIMEOUT" default:"2s" description:"longest wait for one answer of the store"`
+}
+
+// Member says how nodes find each other.
+type Member struct {
+	Join   []mwid.Address `long:"join" env:"JOIN" env-delim:"," description:"peer addresses of known nodes, IP:port"`
+	Period time.Duration  `long:"period" env:"PERIOD" default:"500ms" description:"time between two rounds of gossip"`
+}
+
+// Admit bounds the admission.
+type Admit struct {
+	Queue mwunit.Slots `long:"queue" env:"QUEUE" default:"256" description:"calls that may wait for each service and lane"`
+}
+
+// Route bounds the routing.
+type Route struct {
+	EjectRatio mwunit.Ratio `long:"eject-ratio" env:"EJECT_RATIO" default:"0.34" description:"greatest part of a service's targets that is ejected at a time, 0 to 1"`
+}
+
+// Retry bounds retries.
+type Retry struct {
+	TokenRatio mwunit.Ratio `long:"token-ratio" env:"TOKEN_RATIO" default:"0.1" description:"retries earned by each success, for each target service"`
+	Hedge      bool         `long:"hedge" env:"HEDGE" description:"hedge short repeatable calls"`
+}
+
+// Claim says how work that must not repeat is claimed.
+type Claim struct {
+	KeyRequired bool `long:"key-required" env:"KEY_REQUIRED" description:"refuse work that must not repeat and has no key; without, such work runs once at the most by never being retried"`
+	RunFirst    bool `long:"run-first" env:"RUN_FIRST" description:"while the table is away, run calls that the caller declares as its first attempt"`
+}
+
+// Relay bounds what one call may hold.
+type Relay struct {
+	Buffer      mwunit.Bytes  `long:"buffer" env:"BUFFER" default:"65536" description:"largest request body that is held for a retry, bytes"`
+	HeaderBytes mwunit.Bytes  `long:"header-bytes" env:"HEADER_BYTES" default:"65536" description:"largest header, bytes"`
+	Idle        time.Duration `long:"idle" env:"IDLE" default:"10s" description:"longest silence of a connection with a call on it"`
+	Drain       time.Duration `long:"drain" env:"DRAIN" default:"60s" description:"longest wait for calls in flight at the end"`
+}
