mwfakeserver: add a stand-in backend server

Experiments and tests need a backend server with slots, a queue and a record of what it ran, so that a refusal that says NotRun can be checked.

--- /dev/null
+++ b/mwlib/mwfakeserver/backend.go
@@ -0,0 +1,138 @@
+package mwfakeserver
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Backend does the work of a stand-in backend server. It is an http.Handler
+// without a listener, so that tests can drive it in virtual time; Server puts
+// it on a listener and announces it.
+type Backend struct {
+	set    settings
+	gate   *gate
+	speed  speed
+	report report
+	client *http.Client
+	wg     sync.WaitGroup
+}
+
+// settings are what options change.
+type settings struct {
+	seed        Seed
+	slots       mwunit.Slots
+	queue       mwunit.Slots
+	connections mwunit.Connections
+	classes     []Class
+	plain       bool
+	spells      Spells
+	cold        time.Duration
+	coldFactor  mwunit.Ratio
+	reporting   Reporting
+	record      *Record
+	node        mwid.Address
+	ttl         time.Duration
+	announced   announcement
+	listen      mwid.Address
+}
+
+// Defaults of a Backend.
+const (
+	DefaultSlots       mwunit.Slots       = 16
+	DefaultQueue       mwunit.Slots       = 64
+	DefaultConnections mwunit.Connections = 128
+)
+
+// NewBackend returns a Backend. The returned function ends what it started.
+func NewBackend(opts ...Option) (*Backend, func()) {
+	set := settings{
+		slots: DefaultSlots, queue: DefaultQueue, connections: DefaultConnections,
+		reporting: Reporting{Factor: 1}, ttl: DefaultTTL, listen: "127.0.0.1:0",
+		classes: []Class{{Prefix: "/", Time: 5 * time.Millisecond}},
+	}
+	mwoption.Apply(&set, opts...)
+	if set.record == nil {
+		set.record = NewRecord()
+	}
+	b := &Backend{
+		set: set, gate: newGate(set.slots, set.queue), client: newClient(),
+		speed:  speed{set: 1, spell: 1, start: time.Now(), cold: set.cold, factor: set.coldFactor},
+		report: report{Reporting: set.reporting},
+	}
+	stop := make(chan struct{})
+	b.wg.Go(func() { b.report.watch(b.gate, stop) })
+	if set.spells.Every > 0 {
+		b.wg.Go(func() { b.speed.spells(set.spells, set.seed, stop) })
+	}
+	return b, func() {
+		close(stop)
+		b.wg.Wait()
+		b.client.CloseIdleConnections()
+	}
+}
+
+// Record returns the record of what ran.
+func (b *Backend) Record() *Record { return b.set.record }
+
+// Load returns the true load.
+func (b *Backend) Load() Load { return b.gate.load() }
+
+// SetSlowness makes all work that begins from now on take f times as long.
+func (b *Backend) SetSlowness(f mwunit.Ratio) { b.speed.setSlowness(f) }
+
+// ServeHTTP serves one call, or the load report.
+func (b *Backend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == LoadPath {
+		b.report.serve(w)
+		return
+	}
+	ctx, cancel := withTimeout(r)
+	defer cancel()
+	if err := b.gate.enter(ctx); err != nil {
+		b.refuse(w, err)
+		return
+	}
+	defer b.gate.exit()
+	if ctx.Err() != nil {
+		b.refuse(w, ctx.Err())
+		return
+	}
+	b.set.record.begin(requestID(r), mwid.CallKey(r.Header.Get(keyHeader)))
+	b.run(ctx, w, r)
+}
+
+// withTimeout returns the context of r, bounded by its timeout header.
+func withTimeout(r *http.Request) (context.Context, context.CancelFunc) {
+	if d, err := time.ParseDuration(r.Header.Get(timeoutHeader)); err == nil {
+		return context.WithTimeout(r.Context(), d)
+	}
+	return context.WithCancel(r.Context())
+}
+
+// refuse answers a call that did not run.
+func (b *Backend) refuse(w http.ResponseWriter, err error) {
+	if errors.Is(err, errShed) {
+		b.set.record.shed.Add(1)
+	} else {
+		b.set.record.given.Add(1)
+	}
+	if !b.set.plain {
+		w.Header().Set(notRunHeader, "1")
+	}
+	http.Error(w, err.Error(), http.StatusServiceUnavailable)
+}
+
+// requestID returns the id of r; without a header, its key stands for it.
+func requestID(r *http.Request) RequestID {
+	if id := r.Header.Get(RequestIDHeader); id != "" {
+		return RequestID(id)
+	}
+	return RequestID(r.Header.Get(keyHeader))
+}
--- /dev/null
+++ b/mwlib/mwfakeserver/child.go
@@ -0,0 +1,87 @@
+package mwfakeserver
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+)
+
+// Headers of the protocol between backend servers and nodes.
+const (
+	serviceHeader = "Mw-Service"
+	keyHeader     = "Mw-Key"
+	timeoutHeader = "Mw-Timeout"
+	parentHeader  = "Mw-Parent"
+	notRunHeader  = "Mw-Not-Run"
+)
+
+// Bounds of the connections to the node.
+const (
+	idleConnections = 256
+	idleTimeout     = 30 * time.Second
+)
+
+func newClient() *http.Client {
+	return &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleConnections, IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}}
+}
+
+// callStages makes the calls of each stage at the same time, stage by stage.
+// The first call that fails ends all.
+func (b *Backend) callStages(ctx context.Context, r *http.Request, ss []Stage) error {
+	for i, s := range ss {
+		g, ctx := errgroup.WithContext(ctx)
+		for j, ch := range s {
+			name := "/" + strconv.Itoa(i) + "." + strconv.Itoa(j)
+			g.Go(func() error { return b.call(ctx, r, ch, name) })
+		}
+		if err := g.Wait(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// call makes the call ch through the node and reads its answer to the end.
+// Name tells the calls of one parent apart.
+func (b *Backend) call(ctx context.Context, r *http.Request, ch Child, name string) error {
+	method := ch.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+string(b.set.node)+ch.Path, nil)
+	if err != nil {
+		return fmt.Errorf("calling %s: %w", ch.Service, err)
+	}
+	b.setHeader(ctx, q, r, ch, name)
+	res, err := b.client.Do(q)
+	if err != nil {
+		return fmt.Errorf("calling %s: %w", ch.Service, err)
+	}
+	defer res.Body.Close()
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		return fmt.Errorf("answer of %s: %w", ch.Service, err)
+	}
+	if res.StatusCode >= http.StatusInternalServerError || res.StatusCode == http.StatusTooManyRequests {
+		return fmt.Errorf("answer of %s: %s", ch.Service, res.Status)
+	}
+	return nil
+}
+
+func (b *Backend) setHeader(ctx context.Context, q, r *http.Request, ch Child, name string) {
+	q.Header.Set(serviceHeader, string(ch.Service))
+	q.Header.Set(parentHeader, r.Header.Get(parentHeader))
+	q.Header.Set(RequestIDHeader, string(requestID(r))+name)
+	if k := r.Header.Get(keyHeader); k != "" && q.Method == http.MethodPost {
+		q.Header.Set(keyHeader, k+name)
+	}
+	if t, ok := ctx.Deadline(); ok {
+		q.Header.Set(timeoutHeader, time.Until(t).String())
+	}
+}
--- /dev/null
+++ b/mwlib/mwfakeserver/draw.go
@@ -0,0 +1,35 @@
+package mwfakeserver
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Seed is the start of all that a Backend draws at random.
+type Seed uint64
+
+// draw is what chance says of one request. It depends on the seed and the
+// request's id alone, so that two runs with one seed give the same request
+// the same work, whatever the order of their calls.
+type draw struct {
+	time   time.Duration
+	failed bool
+}
+
+func newDraw(s Seed, id RequestID, c Class) draw {
+	r := rand.New(rand.NewPCG(uint64(s), xxhash.Sum64String(string(id))))
+	f := 1 + float64(c.Jitter)*(2*r.Float64()-1)
+	if r.Float64() < float64(c.Stragglers) {
+		f *= float64(c.StragglerFactor)
+	}
+	return draw{time: scale(c.Time, mwunit.Ratio(f)), failed: r.Float64() < float64(c.Failing)}
+}
+
+// scale returns d times f.
+func scale(d time.Duration, f mwunit.Ratio) time.Duration {
+	return time.Duration(float64(d) * float64(f))
+}
--- /dev/null
+++ b/mwlib/mwfakeserver/record.go
@@ -0,0 +1,97 @@
+package mwfakeserver
+
+import (
+	"sync/atomic"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// RequestID identifies one call over all of its attempts; callers send it in
+// the header RequestIDHeader.
+type RequestID string
+
+// RequestIDHeader is the header that carries a RequestID.
+const RequestIDHeader = "X-Request-Id"
+
+// Record keeps what backend servers ran, so that what a refusal says can be
+// checked against it. Several Backends may share one.
+type Record struct {
+	runs    *mwshard.Map[RequestID, mwunit.Attempts]
+	keys    *mwshard.Map[mwid.CallKey, mwunit.Attempts]
+	total   atomic.Int64
+	done    atomic.Int64
+	shed    atomic.Int64
+	given   atomic.Int64
+	leaving atomic.Int64
+}
+
+// NewRecord returns an empty Record.
+func NewRecord() *Record {
+	return &Record{
+		runs: mwshard.New[RequestID, mwunit.Attempts](mwshard.DefaultShards),
+		keys: mwshard.New[mwid.CallKey, mwunit.Attempts](mwshard.DefaultShards),
+	}
+}
+
+// Totals counts the calls of a Record.
+type Totals struct {
+	// Run counts calls that were begun.
+	Run int64
+	// Done counts calls that were begun and ended well.
+	Done int64
+	// Shed counts calls that the queue had no room for.
+	Shed int64
+	// GivenUp counts calls that were cancelled or ran out of time.
+	GivenUp int64
+	// WhileLeaving counts calls that came to a Backend that is leaving.
+	WhileLeaving int64
+}
+
+// Totals returns the counts so far.
+func (r *Record) Totals() Totals {
+	return Totals{
+		Run: r.total.Load(), Done: r.done.Load(), Shed: r.shed.Load(),
+		GivenUp: r.given.Load(), WhileLeaving: r.leaving.Load(),
+	}
+}
+
+// Runs returns how often a call with id was begun.
+func (r *Record) Runs(id RequestID) mwunit.Attempts {
+	n, _ := r.runs.Get(id)
+	return n
+}
+
+// RunsOfKey returns how often a call with key k was begun.
+func (r *Record) RunsOfKey(k mwid.CallKey) mwunit.Attempts {
+	n, _ := r.keys.Get(k)
+	return n
+}
+
+// DoubleKeys returns the keys under which more than one call was begun.
+func (r *Record) DoubleKeys() []mwid.CallKey {
+	var ks []mwid.CallKey
+	r.keys.Range(func(k mwid.CallKey, n mwunit.Attempts) bool {
+		if n > 1 {
+			ks = append(ks, k)
+		}
+		return true
+	})
+	return ks
+}
+
+// begin notes that a call begins.
+func (r *Record) begin(id RequestID, k mwid.CallKey) {
+	r.total.Add(1)
+	add(r.runs, id)
+	add(r.keys, k)
+}
+
+// add counts k in m; the empty one is not counted.
+func add[K ~string](m *mwshard.Map[K, mwunit.Attempts], k K) {
+	if k == "" {
+		return
+	}
+	m.Update(k, func(n mwunit.Attempts, _ bool) (mwunit.Attempts, bool) { return n + 1, true })
+}
--- /dev/null
+++ b/mwlib/mwfakeserver/server.go
@@ -0,0 +1,131 @@
+package mwfakeserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// Server is a Backend on a listener that announces itself to its node. It
+// renews the announcement until it leaves, and takes it back at its end.
+type Server struct {
+	*Backend
+	service   mwid.ServiceName
+	address   mwid.Address
+	announcer announcer
+	leaving   atomic.Bool
+	left      atomic.Int64 // left is when Leave was called, Unix nanoseconds.
+	last      atomic.Int64 // last is when the last call came, Unix nanoseconds.
+}
+
+// New starts a Server for service s and announces it at the local listener
+// node. The returned function cuts what still runs, takes the announcement
+// back and ends what New started.
+func New(s mwid.ServiceName, node mwid.Address, opts ...Option) (*Server, func(), error) {
+	b, endBackend := NewBackend(append(opts, WithNode(node))...)
+	l, err := net.Listen("tcp", string(b.set.listen))
+	if err != nil {
+		endBackend()
+		return nil, nil, fmt.Errorf("backend server %s: %w", s, err)
+	}
+	srv := &Server{
+		Backend: b, service: s, address: mwid.Address(l.Addr().String()),
+		announcer: announcer{client: b.client, node: node},
+	}
+	end := srv.start(l, endBackend)
+	if err := srv.announcer.put(context.Background(), srv.announcement()); err != nil {
+		end()
+		return nil, nil, fmt.Errorf("backend server %s: %w", s, err)
+	}
+	return srv, end, nil
+}
+
+// start serves l and renews the announcement until the returned function is
+// called.
+func (s *Server) start(l net.Listener, endBackend func()) func() {
+	h := &http.Server{Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: readTimeout}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		// Serve always returns an error; at the end it is ErrServerClosed.
+		_ = h.Serve(l)
+	})
+	wg.Go(func() { s.renew(stop) })
+	return func() {
+		close(stop)
+		// A node that is gone forgets the announcement by itself.
+		_ = s.announcer.withdraw(context.Background(), s.service)
+		_ = h.Close()
+		wg.Wait()
+		endBackend()
+	}
+}
+
+// readTimeout bounds the wait for a request's header.
+const readTimeout = 10 * time.Second
+
+// serve serves one call, and counts those that come too late.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
+	s.last.Store(time.Now().UnixNano())
+	if s.leaving.Load() {
+		s.set.record.leaving.Add(1)
+	}
+	s.ServeHTTP(w, r)
+}
+
+func (s *Server) announcement() announcement {
+	a := s.set.announced
+	a.Service, a.Address = s.service, s.address
+	a.Slots, a.Connections = s.set.slots, s.set.connections
+	a.TTL, a.Leaving = mwconfig.Duration(s.set.ttl), s.leaving.Load()
+	return a
+}
+
+// Service returns the service that s serves.
+func (s *Server) Service() mwid.ServiceName { return s.service }
+
+// Address returns the address that s listens on.
+func (s *Server) Address() mwid.Address { return s.address }
+
+// Leave announces that s takes no new work.
+func (s *Server) Leave(ctx context.Context) error {
+	s.left.Store(time.Now().UnixNano())
+	s.leaving.Store(true)
+	return s.announcer.put(ctx, s.announcement())
+}
+
+// LateWork returns how long after Leave the last call came; 0 where none did.
+func (s *Server) LateWork() time.Duration {
+	left, last := s.left.Load(), s.last.Load()
+	if left == 0 || last < left {
+		return 0
+	}
+	return time.Duration(last - left)
+}
+
+// drainPeriod is the time between two looks whether all calls are done.
+const drainPeriod = 20 * time.Millisecond
+
+// errBusy is the error of a drain that took too long.
+var errBusy = errors.New("calls are still in flight")
+
+// Drain leaves and waits until no call runs, or until ctx is done.
+func (s *Server) Drain(ctx context.Context) error {
+	if err := s.Leave(ctx); err != nil {
+		return err
+	}
+	for s.Load() != (Load{}) {
+		if !wait(drainPeriod, ctx.Done()) {
+			return fmt.Errorf("backend server %s: %w", s.service, errBusy)
+		}
+	}
+	return nil
+}
