--- a/mwlib/mwfakeserver/option.go
+++ b/mwlib/mwfakeserver/option.go
@@ -58,3 +58,7 @@
 // WithNode sets the local listener of the node, for a Backend without a
 // Server.
 func WithNode(a mwid.Address) Option { return func(o *settings) { o.node = a } }
+
+// WithStatedRefusals makes refusals state that the call did not run; this is
+// what a Backend does by itself.
+func WithStatedRefusals() Option { return func(o *settings) { o.plain = false } }
