--- /dev/null
+++ b/mwlib/mwadmin/explain.go
@@ -0,0 +1,62 @@
+package mwadmin
+
+import (
+	"fmt"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// explain answers q from what the node of k knows now.
+func explain(k *mwkernel.Kernel, q Question) Explanation {
+	c := &mwcall.Call{
+		Root: mwid.NewRootID(), Caller: q.Caller, Service: q.Service,
+		Method: q.Method, Path: q.Path,
+	}
+	s := k.Judge(c)
+	v := Explanation{
+		Version: c.Class.Version, Verdict: c.Class.Verdict, Priority: c.Class.Priority,
+		CallerLabels: s.CallerLabels(q.Caller), RequestLabels: s.RequestLabels(c.Request()),
+		Targets: k.Targets(q.Service), Share: c.Class.Ceiling,
+	}
+	if isAnnounced(k, q.Service) {
+		l := k.Admission().Load(q.Service)
+		v.Load = &l
+	}
+	v.Code, v.Reason = judge(k, v)
+	v.Admitted = v.Code == mwcode.OK
+	return v
+}
+
+func isAnnounced(k *mwkernel.Kernel, s mwid.ServiceName) bool {
+	for _, a := range k.Announced() {
+		if a.Service == s {
+			return true
+		}
+	}
+	return false
+}
+
+// judge tells whether the call would be admitted now, and why.
+func judge(k *mwkernel.Kernel, v Explanation) (mwcode.Code, string) {
+	usable := 0
+	for _, t := range v.Targets {
+		if t.State != mwcall.Leaving {
+			usable++
+		}
+	}
+	switch {
+	case usable == 0:
+		return mwcode.NoTarget, "no target of the service is known and takes work"
+	case v.Load == nil:
+		return mwcode.OK, fmt.Sprintf("would be sent to one of %d targets, whose node decides", usable)
+	case k.Draining():
+		return mwcode.Draining, "this node is draining"
+	case v.Priority < v.Load.Threshold:
+		return mwcode.Overloaded, fmt.Sprintf("priority %d is below the threshold %d here",
+			v.Priority, v.Load.Threshold)
+	}
+	return mwcode.OK, "above the threshold here"
+}
--- /dev/null
+++ b/mwlib/mwhost/host.go
@@ -0,0 +1,254 @@
+// Package mwhost runs one whole node in a process: the kernel with its
+// plug-ins, the front end, and the listeners.
+package mwhost
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwadmin"
+	"mustardwheel.example/mwlib/mwcert"
+	"mustardwheel.example/mwlib/mwhttp"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwrpc"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// Bounds of the listeners' connections.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 2 * time.Minute
+	// drainLinger is how long a draining node still answers other nodes.
+	drainLinger = 3 * time.Second
+)
+
+// Host is one running node. Its listeners open before the kernel is made,
+// so that a setting of port 0 is replaced by the real port everywhere; they
+// serve once the kernel is there.
+type Host struct {
+	set     mwsetting.Node
+	log     *slog.Logger
+	metrics *metrics.Set
+	kernel  *mwkernel.Kernel
+	front   *mwhttp.Front
+	peers   *mwrpc.Peers
+	drained chan struct{} // drained gets a value when an operator drains.
+
+	entry, local, peer, admin *listener
+	group                     errgroup.Group
+}
+
+// listener is one listener with its server.
+type listener struct {
+	net.Listener
+	server *http.Server
+}
+
+func (l *listener) addr() mwid.Address { return mwid.Address(l.Addr().String()) }
+
+// options are what New takes beside the settings.
+type options struct {
+	log   *slog.Logger
+	store mwstore.Store
+}
+
+// Option changes how New makes a Host.
+type Option = mwoption.Option[options]
+
+// WithLog sets where the node logs.
+func WithLog(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithStore sets a store in place of the one that the settings name.
+func WithStore(s mwstore.Store) Option { return func(o *options) { o.store = s } }
+
+// New runs a node with settings set. The returned function ends it at once;
+// call Drain before it to let calls in flight end.
+func New(set *mwsetting.Node, opts ...Option) (*Host, func(), error) {
+	o := options{log: slog.Default()}
+	mwoption.Apply(&o, opts...)
+	h := &Host{set: *set, log: o.log, metrics: metrics.NewSet(), drained: make(chan struct{}, 1)}
+	if err := h.listen(); err != nil {
+		h.closeListeners()
+		return nil, nil, err
+	}
+	var endPeers func()
+	h.peers, endPeers = mwrpc.New()
+	k, endKernel, err := mwkernel.New(&h.set, h.kernelOptions(o)...)
+	if err != nil {
+		endPeers()
+		h.closeListeners()
+		return nil, nil, err
+	}
+	h.kernel = k
+	var endFront func()
+	h.front, endFront = mwhttp.New(k, h.set.Relay)
+	h.serve()
+	return h, func() {
+		h.closeServers()
+		endFront()
+		endKernel()
+		endPeers()
+		h.group.Wait()
+	}, nil
+}
+
+func (h *Host) kernelOptions(o options) []mwkernel.Option {
+	opts := []mwkernel.Option{
+		mwkernel.WithLog(h.log), mwkernel.WithMetrics(h.metrics), mwkernel.WithPeers(h.peers),
+	}
+	if o.store != nil {
+		opts = append(opts, mwkernel.WithStore(o.store))
+	}
+	return opts
+}
+
+// listen opens the listeners and writes their real addresses into the
+// settings.
+func (h *Host) listen() error {
+	l := &h.set.Listen
+	for _, x := range []struct {
+		to   **listener
+		addr *mwid.Address
+	}{{&h.entry, &l.Entry}, {&h.local, &l.Local}, {&h.peer, &l.Peer}, {&h.admin, &l.Admin}} {
+		ln, err := net.Listen("tcp", string(*x.addr))
+		if err != nil {
+			return fmt.Errorf("mwhost: %w", err)
+		}
+		*x.to = &listener{Listener: ln}
+		*x.addr = (*x.to).addr()
+	}
+	return h.secure()
+}
+
+// secure puts TLS on the entry listener where a certificate is set.
+func (h *Host) secure() error {
+	if h.set.Listen.CertFile == "" {
+		return nil
+	}
+	s, err := mwcert.New(h.set.Listen.CertFile, h.set.Listen.KeyFile)
+	if err != nil {
+		return err
+	}
+	h.entry.Listener = tls.NewListener(h.entry.Listener, s.Config())
+	return nil
+}
+
+// serve starts the servers.
+func (h *Host) serve() {
+	peer := h.closing(h.front.Peer())
+	h.start(h.entry, h.closing(h.front.Entry()))
+	h.start(h.local, h.front.Local())
+	h.start(h.peer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodConnect {
+			h.peers.ServeHTTP(w, r)
+			return
+		}
+		peer.ServeHTTP(w, r)
+	}))
+	h.start(h.admin, mwadmin.NewHandler(h.kernel, h.metrics, h.requestDrain, h.set.Listen.Pprof))
+}
+
+func (h *Host) start(l *listener, handler http.Handler) {
+	l.server = &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: int(h.set.Relay.HeaderBytes),
+		ErrorLog:       slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+	}
+	h.group.Go(func() error {
+		if err := l.server.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("mwhost: %w", err)
+		}
+		return nil
+	})
+}
+
+// requestDrain notes that an operator wants the node to drain.
+func (h *Host) requestDrain() {
+	select {
+	case h.drained <- struct{}{}:
+	default:
+	}
+}
+
+// DrainRequested returns a channel that gets a value when an operator wants
+// the node to drain; the owner of the Host then calls Drain.
+func (h *Host) DrainRequested() <-chan struct{} { return h.drained }
+
+// Drain takes no new work, tells the other nodes so, and returns nil when the
+// last call is over, or an error when ctx is done before.
+//
+// The listeners stay open for drainLinger: other nodes that have not heard of
+// the drain get a refusal which tells that their call did not run, and each
+// answer asks its caller to close the connection. Closing idle connections
+// at once would break requests that are on their way.
+func (h *Host) Drain(ctx context.Context) error {
+	h.log.Info("draining", "Node", h.kernel.Self().Node)
+	linger := time.NewTimer(drainLinger)
+	defer linger.Stop()
+	if err := h.kernel.Drain(ctx); err != nil {
+		return fmt.Errorf("mwhost: draining: %w", err)
+	}
+	select {
+	case <-linger.C:
+	case <-ctx.Done():
+	}
+	var g errgroup.Group
+	for _, l := range []*listener{h.entry, h.local, h.peer} {
+		g.Go(func() error { return l.server.Shutdown(ctx) })
+	}
+	return g.Wait()
+}
+
+// closing asks the client to close its connection while the node drains.
+func (h *Host) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if h.kernel.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (h *Host) closeServers() {
+	for _, l := range []*listener{h.entry, h.local, h.peer, h.admin} {
+		l.server.Close()
+	}
+}
+
+func (h *Host) closeListeners() {
+	for _, l := range []*listener{h.entry, h.local, h.peer, h.admin} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// Kernel returns the node's kernel.
+func (h *Host) Kernel() *mwkernel.Kernel { return h.kernel }
+
+// Settings returns the settings in use, with the real addresses.
+func (h *Host) Settings() mwsetting.Node { return h.set }
+
+// Entry returns the address of the listener for callers.
+func (h *Host) Entry() mwid.Address { return h.entry.addr() }
+
+// Local returns the address of the listener for this VM's backend server.
+func (h *Host) Local() mwid.Address { return h.local.addr() }
+
+// Peer returns the address of the listener for other nodes.
+func (h *Host) Peer() mwid.Address { return h.peer.addr() }
+
+// Admin returns the address of the listener for operators.
+func (h *Host) Admin() mwid.Address { return h.admin.addr() }
--- /dev/null
+++ b/mwlib/mwhttp/announce.go
@@ -0,0 +1,95 @@
+package mwhttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwlabel"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// AnnouncePath is where a backend server announces itself on the local
+// listener.
+const AnnouncePath = "/mw/announce"
+
+// maxAnnouncement is the largest announcement in bytes.
+const maxAnnouncement = 64 << 10
+
+// Announcement is the JSON form of mwcall.Announcement.
+type Announcement struct {
+	Service     mwid.ServiceName
+	Address     mwid.Address
+	Slots       mwunit.Slots
+	Connections mwunit.Connections
+	Labels      mwlabel.Set       `json:",omitempty"`
+	TTL         mwconfig.Duration `json:",omitempty"`
+	Leaving     bool              `json:",omitempty"`
+}
+
+// announcements serves AnnouncePath.
+type announcements struct{ k *mwkernel.Kernel }
+
+// ServeHTTP takes an announcement by PUT and takes it back by DELETE.
+func (a announcements) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.Method {
+	case http.MethodPut:
+		a.put(w, r)
+	case http.MethodDelete:
+		a.k.Withdraw(mwid.ServiceName(r.URL.Query().Get("Service")))
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		w.Header().Set("Allow", "PUT, DELETE")
+		w.WriteHeader(http.StatusMethodNotAllowed)
+	}
+}
+
+func (a announcements) put(w http.ResponseWriter, r *http.Request) {
+	var v Announcement
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxAnnouncement))
+	dec.DisallowUnknownFields()
+	err := dec.Decode(&v)
+	if err != nil {
+		err = mwcode.New(mwcode.BadDocument, mwcode.Wrap(err),
+			mwcode.Expected("an announcement as in docs/PROTOCOL.md"))
+	} else {
+		err = a.k.Announce(v.call())
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, err)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (v Announcement) call() mwcall.Announcement {
+	return mwcall.Announcement{
+		Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: v.Connections,
+		Labels: v.Labels, TTL: time.Duration(v.TTL), Leaving: v.Leaving,
+	}
+}
+
+// failure is the JSON form of an error with a code.
+type failure struct {
+	Code     mwcode.Code
+	Name     string
+	Field    string `json:",omitempty"`
+	Expected string `json:",omitempty"`
+	Cause    string `json:",omitempty"`
+}
+
+// writeError answers with err in JSON.
+func writeError(w http.ResponseWriter, status int, err error) {
+	v := failure{Code: mwcode.Of(err), Name: mwcode.Of(err).String(), Cause: err.Error()}
+	if e := coded(err); e != nil {
+		v.Field, v.Expected = e.Field, e.Expected
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/mwlib/mwhttp/answer.go
@@ -0,0 +1,169 @@
+package mwhttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"maps"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// copySize is the size in bytes of the pieces that answers are copied in.
+const copySize = 32 << 10
+
+// keptLimit is the largest body in bytes of an answer that is kept.
+const keptLimit = 256 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copySize]byte) }}
+
+// answer is an answer over HTTP whose head is there.
+type answer struct {
+	e      *exchange
+	resp   *http.Response
+	head   mwcall.Head
+	keep   bool         // keep tells that the body is recorded.
+	record bytes.Buffer // record has the body while it is within keptLimit.
+	whole  bool
+}
+
+var _ mwkernel.Answer = (*answer)(nil)
+
+// Head returns the head of the answer.
+func (a *answer) Head() mwcall.Head { return a.head }
+
+// Drop closes the answer, and with it the connection where the body was not
+// read to its end.
+func (a *answer) Drop() { a.resp.Body.Close() }
+
+// Send sends the answer to the caller. Where its end does not come, the
+// caller's connection is broken off.
+func (a *answer) Send(h mwcall.Head) error {
+	defer a.resp.Body.Close()
+	if !a.e.commit() {
+		return mwcode.New(mwcode.Internal, mwcode.Expected("one answer to a call"))
+	}
+	a.writeHead(h)
+	err := a.copyBody()
+	if err != nil {
+		a.e.broken = true
+		return mwcode.New(mwcode.AnswerCut, mwcode.Wrap(err))
+	}
+	a.writeTrailers()
+	a.whole = true
+	return nil
+}
+
+func (a *answer) writeHead(h mwcall.Head) {
+	removeHop(a.resp.Header)
+	strip(a.resp.Header)
+	to := a.e.w.Header()
+	maps.Copy(to, a.resp.Header)
+	encodeHead(to, h, a.e.between)
+	if len(a.resp.Trailer) > 0 {
+		names := make([]string, 0, len(a.resp.Trailer))
+		for k := range a.resp.Trailer {
+			names = append(names, k)
+		}
+		to.Set("Trailer", strings.Join(names, ", "))
+	}
+	a.e.w.WriteHeader(a.resp.StatusCode)
+}
+
+func (a *answer) writeTrailers() {
+	maps.Copy(a.e.w.Header(), a.resp.Trailer)
+}
+
+// copyBody copies the body piece by piece. An answer of unknown length is
+// flushed after each piece, since its pieces may be far apart.
+func (a *answer) copyBody() error {
+	buf := copyBuffers.Get().(*[copySize]byte)
+	defer copyBuffers.Put(buf)
+	rc := http.NewResponseController(a.e.w)
+	flush := a.resp.ContentLength < 0
+	for {
+		n, err := a.resp.Body.Read(buf[:])
+		if n > 0 {
+			if werr := a.write(rc, buf[:n], flush); werr != nil {
+				return werr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func (a *answer) write(rc *http.ResponseController, p []byte, flush bool) error {
+	rc.SetWriteDeadline(time.Now().Add(a.e.f.idle))
+	if _, err := a.e.w.Write(p); err != nil {
+		return err
+	}
+	if a.keep {
+		a.recordPiece(p)
+	}
+	if flush {
+		return rc.Flush()
+	}
+	return nil
+}
+
+func (a *answer) recordPiece(p []byte) {
+	if a.record.Len()+len(p) > keptLimit {
+		a.keep = false
+		a.record = bytes.Buffer{}
+		return
+	}
+	a.record.Write(p)
+}
+
+// kept is the encoding of a kept answer.
+type kept struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// Kept returns the answer for later asks, where it is within keptLimit.
+func (a *answer) Kept() (mwcall.Kept, bool) {
+	if !a.keep || !a.whole {
+		return nil, false
+	}
+	h := a.resp.Header.Clone()
+	removeHop(h)
+	b, err := json.Marshal(kept{a.resp.StatusCode, h, a.record.Bytes()})
+	return b, err == nil
+}
+
+// Replay returns the answer kept in k.
+func (e *exchange) Replay(k mwcall.Kept) (mwkernel.Answer, error) {
+	var v kept
+	if err := json.Unmarshal(k, &v); err != nil {
+		return nil, mwcode.New(mwcode.Internal, mwcode.Wrap(err))
+	}
+	if v.Header == nil {
+		v.Header = make(http.Header)
+	}
+	resp := &http.Response{
+		StatusCode: v.Status, Header: v.Header, ContentLength: int64(len(v.Body)),
+		Body: io.NopCloser(bytes.NewReader(v.Body)),
+	}
+	return &answer{e: e, resp: resp}, nil
+}
+
+// coded returns the error with a code in err, or nil.
+func coded(err error) *mwcode.Error {
+	var e *mwcode.Error
+	errors.As(err, &e)
+	return e
+}
--- /dev/null
+++ b/mwlib/mwhttp/body.go
@@ -0,0 +1,107 @@
+package mwhttp
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// body is the body of a request on its way through a node. A body up to the
+// buffer's size is held whole and can be sent again. A larger one is streamed
+// and can be sent again only while nothing was read from it.
+type body struct {
+	whole   []byte
+	held    bool
+	rest    io.ReadCloser
+	length  int64
+	touched atomic.Bool
+}
+
+// newBody takes the body of r, holding up to limit bytes. It does not read
+// from a body that is known to be larger.
+func newBody(r *http.Request, limit mwunit.Bytes) (*body, error) {
+	b := &body{rest: r.Body, length: r.ContentLength}
+	if r.ContentLength > int64(limit) {
+		return b, nil
+	}
+	if r.ContentLength == 0 {
+		b.held = true
+		return b, nil
+	}
+	var buf bytes.Buffer
+	n, err := io.Copy(&buf, io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return nil, err
+	}
+	if n <= int64(limit) {
+		b.whole, b.held = buf.Bytes(), true
+		return b, nil
+	}
+	b.touched.Store(true)
+	b.rest = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(&buf, r.Body), r.Body}
+	return b, nil
+}
+
+// resendable tells whether the body can be sent (again).
+func (b *body) resendable() bool { return b.held || !b.touched.Load() }
+
+// large tells whether the body is worth asking before it is sent.
+func (b *body) large() bool { return !b.held }
+
+// attach makes b the body of an outgoing request. The request has no
+// GetBody, and never a missing body, so that net/http's Transport does not
+// send it again by itself after a byte of it left.
+func (b *body) attach(out *http.Request) {
+	switch {
+	case b.held && len(b.whole) > 0:
+		out.Body = io.NopCloser(bytes.NewReader(b.whole))
+		out.ContentLength = int64(len(b.whole))
+	case b.held && lacksBody(out.Method):
+		out.Body = io.NopCloser(empty{})
+		out.ContentLength = 0
+	case b.held:
+		out.Body = http.NoBody
+		out.ContentLength = 0
+	default:
+		out.Body = &watched{b}
+		out.ContentLength = b.length
+	}
+	if len(out.Trailer) > 0 {
+		out.ContentLength = -1
+	}
+}
+
+// lacksBody tells whether the Transport takes a request of the method without
+// a body for one that it may send again.
+func lacksBody(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// empty is a reader at its end.
+type empty struct{}
+
+// Read returns io.EOF.
+func (empty) Read([]byte) (int, error) { return 0, io.EOF }
+
+// watched is a body that notes that it was read from. Closing it leaves the
+// request's own body open, which net/http's server closes.
+type watched struct{ b *body }
+
+// Read reads from the request's body.
+func (w *watched) Read(p []byte) (int, error) {
+	w.b.touched.Store(true)
+	return w.b.rest.Read(p)
+}
+
+// Close does nothing.
+func (w *watched) Close() error { return nil }
--- /dev/null
+++ b/mwlib/mwhttp/exchange.go
@@ -0,0 +1,194 @@
+package mwhttp
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"net/textproto"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// exchange is one call over HTTP: the request as it came and the writer of
+// its answer. It implements mwkernel.Exchange.
+type exchange struct {
+	f       *Front
+	w       http.ResponseWriter
+	r       *http.Request
+	body    *body
+	between bool // between tells that another node asks.
+
+	mu        sync.Mutex
+	committed bool // committed tells that the answer's head is out.
+	broken    bool // broken tells that the caller must see a broken answer.
+}
+
+var _ mwkernel.Exchange = (*exchange)(nil)
+
+// Forward sends c to the node of t.
+func (e *exchange) Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (mwkernel.Answer, error) {
+	out := e.request(t.Peer)
+	encodePeer(out.Header, c, time.Now())
+	if e.body.large() {
+		out.Header.Set("Expect", "100-continue")
+	}
+	resp, err := e.f.peers.run(ctx, e.f.peers.get(t.Peer, 0), out, t.Peer, e.early)
+	if err != nil {
+		return nil, err
+	}
+	a := &answer{e: e, resp: resp, head: decodeHead(resp.Header)}
+	if a.head.Code != mwcode.OK && a.head.Code != mwcode.BackendUnavailable {
+		a.Drop()
+		return nil, &mwkernel.Refusal{Head: a.head, Err: mwcode.New(a.head.Code)}
+	}
+	a.head.Failed = failed(resp.StatusCode)
+	return a, nil
+}
+
+// Deliver hands c to the backend server announced by a.
+func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
+	out := e.request(a.Address)
+	encodeBackend(out.Header, c, time.Now())
+	resp, err := e.f.backends.run(ctx, e.f.backends.get(a.Address, a.Connections), out, a.Address, e.early)
+	if err != nil {
+		return nil, err
+	}
+	if resp.Header.Get(HeaderNotRun) == yes {
+		(&answer{e: e, resp: resp}).Drop()
+		return nil, mwcode.New(mwcode.Overloaded)
+	}
+	strip(resp.Header)
+	ans := &answer{e: e, resp: resp, keep: c.Key != "" && !c.Class.Repeatable}
+	ans.head.Failed = failed(resp.StatusCode)
+	ans.head.Elsewhere = ans.head.Failed
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		ans.head.Code = mwcode.BackendUnavailable
+	}
+	return ans, nil
+}
+
+// failed tells whether a status says that the backend server could not
+// answer.
+func failed(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway,
+		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	}
+	return false
+}
+
+// request returns a copy of the request for the next hop at addr.
+func (e *exchange) request(addr mwid.Address) *http.Request {
+	out := &http.Request{
+		Method: e.r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: string(addr), Path: e.r.URL.Path,
+			RawPath: e.r.URL.RawPath, RawQuery: e.r.URL.RawQuery,
+		},
+		Host: e.r.Host, Header: e.r.Header.Clone(),
+		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Trailer: e.r.Trailer,
+	}
+	removeHop(out.Header)
+	strip(out.Header)
+	out.Header.Del("Expect")
+	keepFromReplay(out.Header)
+	if _, ok := out.Header["User-Agent"]; !ok {
+		out.Header["User-Agent"] = nil // Keeps net/http from adding its own.
+	}
+	e.body.attach(out)
+	return out
+}
+
+// Resendable tells whether the request's body is still whole.
+func (e *exchange) Resendable() bool { return e.body.resendable() }
+
+// early passes an informational answer on, until the head of the answer is
+// out.
+func (e *exchange) early(code int, h textproto.MIMEHeader) error {
+	if code == http.StatusContinue || code == http.StatusSwitchingProtocols {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.committed {
+		return nil
+	}
+	header := e.w.Header()
+	maps.Copy(header, http.Header(h))
+	e.w.WriteHeader(code)
+	clear(header)
+	return nil
+}
+
+// commit tells whether the caller may now write the answer's head; it says
+// so once.
+func (e *exchange) commit() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ok := !e.committed
+	e.committed = true
+	return ok
+}
+
+// refusal is the body of a refusal, in JSON.
+type refusal struct {
+	Code     mwcode.Code
+	Name     string
+	Outcome  string
+	Field    string `json:",omitempty"`
+	Expected string `json:",omitempty"`
+}
+
+// Refuse answers with err.
+func (e *exchange) Refuse(err error, h mwcall.Head) {
+	if !e.commit() {
+		return
+	}
+	h.Code = mwcode.Of(err)
+	writeRefusal(e.w, err, h, e.between)
+}
+
+func writeRefusal(w http.ResponseWriter, err error, h mwcall.Head, between bool) {
+	encodeHead(w.Header(), h, between)
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status(h.Code))
+	v := refusal{Code: h.Code, Name: h.Code.String(), Outcome: outcome(h.Code)}
+	if e := coded(err); e != nil {
+		v.Field, v.Expected = e.Field, e.Expected
+	}
+	json.NewEncoder(w).Encode(v)
+}
+
+// status returns the HTTP status that goes with a code.
+func status(c mwcode.Code) int {
+	switch c {
+	case mwcode.BadRequest, mwcode.NoKey, mwcode.BadValue, mwcode.TooDeep:
+		return http.StatusBadRequest
+	case mwcode.CallerRatio, mwcode.CallerLimit:
+		return http.StatusTooManyRequests
+	case mwcode.DeadlinePassed, mwcode.DeadlineTooShort, mwcode.Silent:
+		return http.StatusGatewayTimeout
+	case mwcode.Held, mwcode.KeyReused:
+		return http.StatusConflict
+	}
+	if c.OutcomeUnknown() {
+		return http.StatusBadGateway
+	}
+	return http.StatusServiceUnavailable
+}
+
+// isUpgrade tells whether r asks for another protocol, which is not carried.
+func isUpgrade(r *http.Request) bool {
+	return r.Method == http.MethodConnect || r.Header.Get("Upgrade") != "" &&
+		strings.Contains(strings.ToLower(r.Header.Get("Connection")), "upgrade")
+}
--- /dev/null
+++ b/mwlib/mwhttp/front.go
@@ -0,0 +1,122 @@
+package mwhttp
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Front is the front end for HTTP. It has a handler for each listener, which
+// differ in the headers that they believe; the path of a call is the
+// kernel's. A request body up to the buffer's size is held so that it can be
+// sent again; everything else is streamed, so that the memory of a call is
+// bounded whatever its size.
+type Front struct {
+	k        *mwkernel.Kernel
+	buffer   mwunit.Bytes
+	idle     time.Duration
+	peers    *pool
+	backends *pool
+}
+
+// sweepPeriod is the time between two looks for unused transports.
+const sweepPeriod = time.Minute
+
+// New returns the Front of k. The returned function closes its connections
+// to other nodes and to backend servers.
+func New(k *mwkernel.Kernel, set mwsetting.Relay) (*Front, func()) {
+	f := &Front{k: k, buffer: set.Buffer, idle: set.Idle, peers: newPool(), backends: newPool()}
+	stop, done := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(done)
+		t := time.NewTicker(sweepPeriod)
+		defer t.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case now := <-t.C:
+				f.peers.sweep(now)
+				f.backends.sweep(now)
+			}
+		}
+	}()
+	return f, func() {
+		close(stop)
+		<-done
+		f.peers.close()
+		f.backends.close()
+	}
+}
+
+// Entry returns the handler of the listener for callers.
+func (f *Front) Entry() http.Handler { return f.handler(mwcall.Entry) }
+
+// Local returns the handler of the listener for this VM's backend server:
+// its calls, and its announcements.
+func (f *Front) Local() http.Handler {
+	calls := f.handler(mwcall.Local)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == AnnouncePath {
+			announcements{f.k}.ServeHTTP(w, r)
+			return
+		}
+		calls.ServeHTTP(w, r)
+	})
+}
+
+// Peer returns the handler of the listener for other nodes.
+func (f *Front) Peer() http.Handler { return f.handler(mwcall.Peer) }
+
+func (f *Front) handler(o mwcall.Origin) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { f.serve(w, r, o) })
+}
+
+// serve leads one request through the kernel. It breaks the connection off
+// where the answer is not whole.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, o mwcall.Origin) {
+	between := o == mwcall.Peer
+	c, err := decode(r, o, time.Now())
+	if err == nil && isUpgrade(r) {
+		err = badHeader("Upgrade", "a request of HTTP")
+	}
+	if err != nil {
+		writeRefusal(w, err, mwcall.Head{Code: mwcode.Of(err)}, between)
+		return
+	}
+	r.Body = &patient{rc: http.NewResponseController(w), ReadCloser: r.Body, idle: f.idle}
+	b, err := newBody(r, f.buffer)
+	if err != nil {
+		err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
+		writeRefusal(w, err, mwcall.Head{Code: mwcode.CallerGone}, between)
+		return
+	}
+	e := &exchange{f: f, w: w, r: r, body: b, between: between}
+	f.k.Serve(r.Context(), c, e)
+	if e.broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// patient is a request body whose sender may be silent for idle at a time.
+type patient struct {
+	rc *http.ResponseController
+	io.ReadCloser
+	idle time.Duration
+}
+
+// Read reads within idle.
+func (p *patient) Read(b []byte) (int, error) {
+	p.rc.SetReadDeadline(time.Now().Add(p.idle))
+	n, err := p.ReadCloser.Read(b)
+	if err != nil {
+		p.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- /dev/null
+++ b/mwlib/mwhttp/header.go
@@ -0,0 +1,249 @@
+// Package mwhttp is the front end for HTTP: it turns requests into calls,
+// carries them to other nodes and to backend servers, and brings the answers
+// back. docs/PROTOCOL.md describes its headers.
+package mwhttp
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Headers of the system.
+const (
+	HeaderService     = "Mw-Service"
+	HeaderCaller      = "Mw-Caller"
+	HeaderKey         = "Mw-Key"
+	HeaderFirst       = "Mw-First"
+	HeaderResubmitted = "Mw-Resubmitted"
+	HeaderTimeout     = "Mw-Timeout"
+	HeaderRoot        = "Mw-Root"
+	HeaderParent      = "Mw-Parent"
+	HeaderAttempt     = "Mw-Attempt"
+	HeaderDepth       = "Mw-Depth"
+	HeaderBudget      = "Mw-Budget"
+	HeaderImportance  = "Mw-Importance"
+	HeaderCode        = "Mw-Code"
+	HeaderOutcome     = "Mw-Outcome"
+	HeaderUnused      = "Mw-Unused"
+	HeaderElsewhere   = "Mw-Elsewhere"
+	HeaderThreshold   = "Mw-Threshold"
+	HeaderNotRun      = "Mw-Not-Run"
+)
+
+// prefix starts every header of the system.
+const prefix = "Mw-"
+
+// yes is the value of a header that stands for true.
+const yes = "1"
+
+// Values of HeaderOutcome.
+const (
+	outcomeNotRun  = "NotRun"
+	outcomeUnknown = "OutcomeUnknown"
+)
+
+// MaxTimeout is the longest time that a caller may ask for.
+const MaxTimeout = 10 * time.Minute
+
+// decode returns the call of r, which came in at origin o. Headers that are
+// not believed there are ignored.
+func decode(r *http.Request, o mwcall.Origin, now time.Time) (*mwcall.Call, error) {
+	h := r.Header
+	c := &mwcall.Call{
+		Caller: mwid.CallerName(h.Get(HeaderCaller)), Service: serviceOf(r),
+		Method: r.Method, Path: r.URL.Path,
+		Key: mwid.CallKey(h.Get(HeaderKey)), First: h.Get(HeaderFirst) == yes,
+		Resubmitted: h.Get(HeaderResubmitted) == yes, Origin: o,
+	}
+	if c.Service == "" {
+		return nil, badHeader(HeaderService, "the name of a service")
+	}
+	if err := decodeTimeout(c, h, now); err != nil {
+		return nil, err
+	}
+	if o != mwcall.Entry {
+		c.Root = mwid.RootID(h.Get(HeaderRoot))
+	}
+	if o == mwcall.Local {
+		c.Parent = mwid.AttemptID(h.Get(HeaderParent))
+	}
+	if c.Root == "" {
+		c.Root = mwid.NewRootID()
+	}
+	if o == mwcall.Peer {
+		return c, decodePeer(c, h)
+	}
+	return c, nil
+}
+
+// decodePeer takes what only other nodes may say.
+func decodePeer(c *mwcall.Call, h http.Header) error {
+	c.Attempt = mwid.AttemptID(h.Get(HeaderAttempt))
+	if c.Attempt == "" {
+		return badHeader(HeaderAttempt, "the id of an attempt")
+	}
+	var err error
+	if c.Depth, _, err = number[mwunit.Depth](h, HeaderDepth); err != nil {
+		return err
+	}
+	if c.Budget, c.HasBudget, err = number[mwunit.Attempts](h, HeaderBudget); err != nil {
+		return err
+	}
+	c.Importance, c.HasImportance, err = number[mwunit.Importance](h, HeaderImportance)
+	return err
+}
+
+func decodeTimeout(c *mwcall.Call, h http.Header, now time.Time) error {
+	v := h.Get(HeaderTimeout)
+	if v == "" {
+		return nil
+	}
+	d, err := time.ParseDuration(v)
+	if err != nil || d <= 0 {
+		return badHeader(HeaderTimeout, `a duration above 0, such as "1.5s"`)
+	}
+	c.Deadline = now.Add(min(d, MaxTimeout))
+	return nil
+}
+
+// serviceOf returns the service that r names by header, or else by the first
+// label of a Host that is not an IP number.
+func serviceOf(r *http.Request) mwid.ServiceName {
+	if s := r.Header.Get(HeaderService); s != "" {
+		return mwid.ServiceName(s)
+	}
+	label, _, _ := strings.Cut(r.Host, ".")
+	label, _, _ = strings.Cut(label, ":")
+	if _, err := strconv.Atoi(label); err == nil || strings.HasPrefix(label, "[") {
+		return ""
+	}
+	return mwid.ServiceName(label)
+}
+
+// maxNumber bounds every number in a header.
+const maxNumber = 1 << 20
+
+// number returns the number in header name; ok is false where it is absent.
+func number[T ~int](h http.Header, name string) (v T, ok bool, err error) {
+	s := h.Get(name)
+	if s == "" {
+		return 0, false, nil
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil || n < 0 || n > maxNumber {
+		return 0, false, badHeader(name, fmt.Sprintf("a number from 0 to %d", maxNumber))
+	}
+	return T(n), true, nil
+}
+
+func badHeader(name, expected string) error {
+	return mwcode.New(mwcode.BadRequest, mwcode.Field(name), mwcode.Expected(expected))
+}
+
+// strip removes every header of the system from h.
+func strip(h http.Header) {
+	for name := range h {
+		if strings.HasPrefix(name, prefix) {
+			delete(h, name)
+		}
+	}
+}
+
+// encodeCommon writes what other nodes and backend servers both get.
+func encodeCommon(h http.Header, c *mwcall.Call, now time.Time) {
+	h.Set(HeaderService, string(c.Service))
+	h.Set(HeaderRoot, string(c.Root))
+	set(h, HeaderCaller, string(c.Caller))
+	set(h, HeaderKey, string(c.Key))
+	if d, ok := c.Remaining(now); ok {
+		h.Set(HeaderTimeout, max(d-hopMargin(d), time.Millisecond).String())
+	}
+}
+
+// hopMargin is the part of the remaining time that a hop keeps for itself,
+// so that the next hop's refusal arrives before the time is over here.
+func hopMargin(d time.Duration) time.Duration { return min(d/20, maxHopMargin) }
+
+// maxHopMargin bounds hopMargin.
+const maxHopMargin = 10 * time.Millisecond
+
+// encodePeer writes c into the headers of a request to another node.
+func encodePeer(h http.Header, c *mwcall.Call, now time.Time) {
+	encodeCommon(h, c, now)
+	h.Set(HeaderAttempt, string(c.Attempt))
+	h.Set(HeaderDepth, strconv.Itoa(int(c.Depth)))
+	h.Set(HeaderBudget, strconv.Itoa(int(c.Budget)))
+	h.Set(HeaderImportance, strconv.Itoa(int(c.Class.Importance)))
+	flag(h, HeaderFirst, c.First)
+	flag(h, HeaderResubmitted, c.Resubmitted)
+}
+
+// encodeBackend writes c into the headers of a request to a backend server.
+func encodeBackend(h http.Header, c *mwcall.Call, now time.Time) {
+	encodeCommon(h, c, now)
+	h.Set(HeaderParent, string(c.Attempt))
+}
+
+func set(h http.Header, name, v string) {
+	if v != "" {
+		h.Set(name, v)
+	}
+}
+
+func flag(h http.Header, name string, on bool) {
+	if on {
+		h.Set(name, yes)
+	}
+}
+
+// encodeHead writes hd into the headers of an answer. Between tells that the
+// answer goes to another node, which alone gets the numbers for nodes.
+func encodeHead(h http.Header, hd mwcall.Head, between bool) {
+	if hd.Code != mwcode.OK {
+		h.Set(HeaderCode, strconv.Itoa(int(hd.Code)))
+		h.Set(HeaderOutcome, outcome(hd.Code))
+	}
+	if hd.RetryAfter > 0 {
+		s := (hd.RetryAfter + time.Second - 1) / time.Second
+		h.Set("Retry-After", strconv.Itoa(int(s)))
+	}
+	if !between {
+		return
+	}
+	h.Set(HeaderUnused, strconv.Itoa(int(hd.Unused)))
+	flag(h, HeaderElsewhere, hd.Elsewhere)
+	if hd.Threshold > 0 {
+		h.Set(HeaderThreshold, strconv.FormatUint(uint64(hd.Threshold), 10))
+	}
+}
+
+func outcome(c mwcode.Code) string {
+	if c.NotRun() {
+		return outcomeNotRun
+	}
+	return outcomeUnknown
+}
+
+// decodeHead returns the head that another node sent.
+func decodeHead(h http.Header) mwcall.Head {
+	code, _, _ := number[mwcode.Code](h, HeaderCode)
+	unused, _, _ := number[mwunit.Attempts](h, HeaderUnused)
+	threshold, _ := strconv.ParseUint(h.Get(HeaderThreshold), 10, 64)
+	wait, _, _ := number[seconds](h, "Retry-After")
+	return mwcall.Head{
+		Code: code, Unused: unused, Elsewhere: h.Get(HeaderElsewhere) == yes,
+		Threshold:  mwcall.Priority(threshold),
+		RetryAfter: time.Duration(wait) * time.Second,
+	}
+}
+
+// seconds is a time in whole seconds, as Retry-After writes it.
+type seconds int
--- /dev/null
+++ b/mwlib/mwhttp/pool.go
@@ -0,0 +1,126 @@
+package mwhttp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Bounds of connections to other nodes and to backend servers.
+const (
+	dialTimeout     = time.Second
+	idleConnTimeout = 30 * time.Second
+	maxIdlePerHost  = 64
+	continueTimeout = time.Minute
+	keepAlivePeriod = 5 * time.Second
+	// unackedTimeout is how long sent data may stay without an
+	// acknowledgement before the connection is taken for dead.
+	unackedTimeout = 2 * time.Second
+	// unusedTransport is how long a transport is kept without a call.
+	unusedTransport = 5 * time.Minute
+)
+
+// pool keeps one http.Transport for each address, so that the connections to
+// one address can be dropped without touching others.
+type pool struct {
+	m *mwshard.Map[mwid.Address, *lane]
+}
+
+// lane is the transport to one address.
+type lane struct {
+	t    *http.Transport
+	used atomic.Int64 // used is when it was last taken, in Unix seconds.
+}
+
+func newPool() *pool {
+	return &pool{m: mwshard.New[mwid.Address, *lane](mwshard.DefaultShards)}
+}
+
+// get returns the transport to addr, with at most conns connections where
+// conns is above 0.
+func (p *pool) get(addr mwid.Address, conns mwunit.Connections) *http.Transport {
+	l := p.m.GetOrSet(addr, func() *lane { return &lane{t: newTransport(conns)} })
+	l.used.Store(time.Now().Unix())
+	return l.t
+}
+
+// dropIdle closes the idle connections to addr. It is called when a
+// connection went silent: the idle ones may be as dead, and the next call
+// opens a new one.
+func (p *pool) dropIdle(addr mwid.Address) {
+	if l, ok := p.m.Get(addr); ok {
+		l.t.CloseIdleConnections()
+	}
+}
+
+// sweep forgets transports without a call for a long time.
+func (p *pool) sweep(now time.Time) {
+	oldest := now.Add(-unusedTransport).Unix()
+	p.m.DeleteFunc(func(_ mwid.Address, l *lane) bool {
+		if l.used.Load() > oldest {
+			return false
+		}
+		go l.t.CloseIdleConnections()
+		return true
+	})
+}
+
+func (p *pool) close() {
+	p.m.Range(func(_ mwid.Address, l *lane) bool {
+		l.t.CloseIdleConnections()
+		return true
+	})
+}
+
+func newTransport(conns mwunit.Connections) *http.Transport {
+	d := &net.Dialer{
+		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUnackedTimeout,
+	}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := d.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: c}, nil
+		},
+		MaxIdleConns:          maxIdlePerHost,
+		MaxIdleConnsPerHost:   maxIdlePerHost,
+		MaxConnsPerHost:       int(conns),
+		IdleConnTimeout:       idleConnTimeout,
+		ExpectContinueTimeout: continueTimeout,
+		DisableCompression:    true,
+	}
+}
+
+// setUnackedTimeout sets unackedTimeout on a socket.
+func setUnackedTimeout(_, _ string, rc syscall.RawConn) error {
+	return rc.Control(func(fd uintptr) {
+		// Where the option is missing, deadlines of calls still bound the wait.
+		_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT,
+			int(unackedTimeout/time.Millisecond))
+	})
+}
+
+// countedConn counts the bytes written to a connection, which tells whether
+// any byte of a call left.
+type countedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write counts before it writes, so that a call whose bytes may have left is
+// never taken for one that did not.
+func (c *countedConn) Write(p []byte) (int, error) {
+	c.written.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/mwlib/mwhttp/trip.go
@@ -0,0 +1,69 @@
+package mwhttp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
+	"sync"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// trip is one request to the next hop.
+type trip struct {
+	mu    sync.Mutex
+	conn  *countedConn
+	start int64 // start is the count of conn when the trip got it.
+	ran   bool  // ran tells that the connection can't tell what left.
+}
+
+// run sends out by t and returns the answer's head. Its error has a code
+// that tells whether a byte of the request may have reached addr.
+func (p *pool) run(ctx context.Context, t *http.Transport, out *http.Request, addr mwid.Address, early func(int, textproto.MIMEHeader) error) (*http.Response, error) {
+	var tr trip
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn:        tr.gotConn,
+		Got1xxResponse: early,
+	})
+	resp, err := t.RoundTrip(out.WithContext(ctx))
+	if err == nil {
+		return resp, nil
+	}
+	code := tr.code(ctx)
+	if code == mwcode.Silent {
+		p.dropIdle(addr)
+	}
+	return nil, mwcode.New(code, mwcode.Wrap(err))
+}
+
+func (t *trip) gotConn(i httptrace.GotConnInfo) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := i.Conn.(*countedConn)
+	if !ok {
+		t.ran = true
+		return
+	}
+	t.conn, t.start = c, c.written.Load()
+}
+
+// code returns the code of a trip that failed.
+func (t *trip) code(ctx context.Context) mwcode.Code {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	sent := t.ran || t.conn != nil && t.conn.written.Load() > t.start
+	switch {
+	case !sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return mwcode.DeadlinePassed
+	case !sent && ctx.Err() != nil:
+		return mwcode.CallerGone
+	case !sent:
+		return mwcode.ConnectFailed
+	case ctx.Err() != nil:
+		return mwcode.Silent
+	}
+	return mwcode.ConnectionLost
+}
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -136,6 +136,27 @@
 // Store returns the store client in use, or nil.
 func (k *Kernel) Store() mwstore.Store { return k.store }
 
+// Targets returns the known targets of s, or of all services where s is
+// empty.
+func (k *Kernel) Targets(s mwid.ServiceName) []mwcall.Target {
+	if s != "" {
+		return k.member.Targets(s)
+	}
+	var ts []mwcall.Target
+	for _, s := range k.member.Services() {
+		ts = append(ts, k.member.Targets(s)...)
+	}
+	return ts
+}
+
+// Judge fills c.Class as for a call by a caller and returns the
+// configuration that it used.
+func (k *Kernel) Judge(c *mwcall.Call) *mwconfig.Snapshot {
+	s, ok := k.snapshot()
+	k.classify(c, s, ok)
+	return s
+}
+
 // emptySnapshot stands for the configuration while the node has none.
 var emptySnapshot = func() *mwconfig.Snapshot {
 	s, err := mwconfig.Compile(0, nil)
--- /dev/null
+++ b/mwlib/mwrpc/peers.go
@@ -0,0 +1,250 @@
+// Package mwrpc carries control messages between nodes by net/rpc over the
+// peer listener.
+package mwrpc
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/rpc"
+	"reflect"
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwshard"
+)
+
+// Path is the path of the CONNECT request that turns a connection of the
+// peer listener into one for control messages.
+const Path = "/mw/rpc"
+
+// maxWait bounds a call whose context has no deadline.
+const maxWait = 10 * time.Second
+
+// connected is the status text that accepts a connection.
+const connected = "200 Connected"
+
+// Peers serves and makes calls of net/rpc. A connection to each peer is kept
+// and shared by its calls. net/rpc has no deadlines of its own, so Peers
+// bounds each call; one that runs out of time takes its connection with it,
+// as that connection may have gone silent for good.
+type Peers struct {
+	server  *rpc.Server
+	clients *mwshard.Map[mwid.Address, *client]
+
+	mu     sync.Mutex
+	conns  map[net.Conn]struct{} // conns are the accepted connections.
+	closed bool
+}
+
+// New returns a Peers. The returned function closes all connections.
+func New() (*Peers, func()) {
+	p := &Peers{
+		server:  rpc.NewServer(),
+		clients: mwshard.New[mwid.Address, *client](mwshard.DefaultShards),
+		conns:   make(map[net.Conn]struct{}),
+	}
+	return p, p.close
+}
+
+// Handle serves the methods of rcvr under name, as net/rpc describes.
+func (p *Peers) Handle(name string, rcvr any) error {
+	if err := p.server.RegisterName(name, rcvr); err != nil {
+		return fmt.Errorf("mwrpc: serving %s: %w", name, err)
+	}
+	return nil
+}
+
+// ServeHTTP takes over the connection of a CONNECT request to Path and
+// serves calls on it until it closes.
+func (p *Peers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodConnect {
+		http.Error(w, "CONNECT only", http.StatusMethodNotAllowed)
+		return
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	if !p.track(conn) {
+		conn.Close()
+		return
+	}
+	defer p.untrack(conn)
+	conn.SetDeadline(time.Time{})
+	if _, err := fmt.Fprintf(conn, "HTTP/1.0 %s\r\n\r\n", connected); err != nil {
+		conn.Close()
+		return
+	}
+	p.server.ServeConn(conn)
+}
+
+func (p *Peers) track(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return false
+	}
+	p.conns[c] = struct{}{}
+	return true
+}
+
+func (p *Peers) untrack(c net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *Peers) close() {
+	p.mu.Lock()
+	p.closed = true
+	for c := range p.conns {
+		c.Close()
+	}
+	p.mu.Unlock()
+	p.clients.Range(func(a mwid.Address, c *client) bool {
+		c.close()
+		return true
+	})
+}
+
+// Call calls "Name.Method" at addr with req and fills res. Its error is that
+// of the method, or has the code mwcode.Unreachable.
+func (p *Peers) Call(ctx context.Context, addr mwid.Address, method string, req, res any) error {
+	ctx, cancel := context.WithTimeout(ctx, maxWait)
+	defer cancel()
+	c := p.clients.GetOrSet(addr, func() *client { return &client{addr: addr} })
+	conn, err := c.get(ctx)
+	if err != nil {
+		return unreachable(err)
+	}
+	// A late answer may still be written after ctx is done, so it is not
+	// res that the call fills.
+	late := reflect.New(reflect.TypeOf(res).Elem())
+	call := conn.Go(method, req, late.Interface(), make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		c.drop(conn)
+		return unreachable(ctx.Err())
+	case <-call.Done:
+	}
+	if call.Error == nil {
+		reflect.ValueOf(res).Elem().Set(late.Elem())
+		return nil
+	}
+	var server rpc.ServerError
+	if errors.As(call.Error, &server) {
+		return fmt.Errorf("mwrpc: %s at %s: %w", method, addr, server)
+	}
+	c.drop(conn)
+	return unreachable(call.Error)
+}
+
+func unreachable(err error) error {
+	return mwcode.New(mwcode.Unreachable, mwcode.Wrap(err))
+}
+
+// client is the connection to one peer.
+type client struct {
+	addr mwid.Address
+	mu   sync.Mutex
+	rpc  *rpc.Client
+	// dialing is closed when the dial that is under way ends.
+	dialing chan struct{}
+}
+
+// get returns the connection, dialing where there is none. One caller dials,
+// without the lock; others wait for it.
+func (c *client) get(ctx context.Context) (*rpc.Client, error) {
+	for {
+		c.mu.Lock()
+		if c.rpc != nil {
+			defer c.mu.Unlock()
+			return c.rpc, nil
+		}
+		wait := c.dialing
+		if wait == nil {
+			c.dialing = make(chan struct{})
+			c.mu.Unlock()
+			return c.dial(ctx)
+		}
+		c.mu.Unlock()
+		select {
+		case <-wait:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *client) dial(ctx context.Context) (*rpc.Client, error) {
+	conn, err := connect(ctx, c.addr)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.dialing)
+	c.dialing = nil
+	if err != nil {
+		return nil, err
+	}
+	c.rpc = rpc.NewClient(conn)
+	return c.rpc, nil
+}
+
+// connect opens a connection for control messages to addr.
+func connect(ctx context.Context, addr mwid.Address) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", string(addr))
+	if err != nil {
+		return nil, err
+	}
+	if t, ok := ctx.Deadline(); ok {
+		conn.SetDeadline(t)
+	}
+	if err := handshake(conn); err != nil {
+		conn.Close()
+		return nil, err
+	}
+	conn.SetDeadline(time.Time{})
+	return conn, nil
+}
+
+func handshake(conn net.Conn) error {
+	if _, err := fmt.Fprintf(conn, "CONNECT %s HTTP/1.0\r\n\r\n", Path); err != nil {
+		return err
+	}
+	req := &http.Request{Method: http.MethodConnect}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		return err
+	}
+	if resp.Status != connected {
+		return fmt.Errorf("mwrpc: unexpected answer %q", resp.Status)
+	}
+	return nil
+}
+
+// drop closes r where it is still the connection in use.
+func (c *client) drop(r *rpc.Client) {
+	c.mu.Lock()
+	if c.rpc == r {
+		c.rpc = nil
+	}
+	c.mu.Unlock()
+	r.Close()
+}
+
+func (c *client) close() {
+	c.mu.Lock()
+	r := c.rpc
+	c.rpc = nil
+	c.mu.Unlock()
+	if r != nil {
+		r.Close()
+	}
+}
