--- /dev/null
+++ b/mwlib/mwmemnet/codec.go
@@ -0,0 +1,67 @@
+package mwmemnet
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+	"reflect"
+	"sync"
+
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// codecs are idle encoders with their decoders for one type of message. Each
+// pair has carried a message before, as on a connection that is in use, so
+// that no description of types is counted again.
+type codecs struct {
+	mu   sync.Mutex
+	idle []*codec
+}
+
+// codec is an encoder and the decoder of what it writes.
+type codec struct {
+	buf bytes.Buffer
+	enc *gob.Encoder
+	dec *gob.Decoder
+}
+
+// carry encodes and decodes v, which points to a struct. It returns the
+// number of bytes and a pointer to the copy. A message that can't be encoded
+// is a mistake of the program, and it panics.
+func (s *codecs) carry(v any) (mwunit.Bytes, reflect.Value) {
+	c := s.take(reflect.TypeOf(v))
+	defer s.put(c)
+	return c.carry(v)
+}
+
+func (s *codecs) take(t reflect.Type) *codec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n := len(s.idle); n > 0 {
+		c := s.idle[n-1]
+		s.idle = s.idle[:n-1]
+		return c
+	}
+	c := &codec{}
+	c.enc, c.dec = gob.NewEncoder(&c.buf), gob.NewDecoder(&c.buf)
+	c.carry(reflect.New(t.Elem()).Interface())
+	return c
+}
+
+func (s *codecs) put(c *codec) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = append(s.idle, c)
+}
+
+func (c *codec) carry(v any) (mwunit.Bytes, reflect.Value) {
+	if err := c.enc.Encode(v); err != nil {
+		panic(fmt.Sprintf("mwmemnet: encode %T: %v", v, err))
+	}
+	size := mwunit.Bytes(c.buf.Len())
+	out := reflect.New(reflect.TypeOf(v).Elem())
+	if err := c.dec.Decode(out.Interface()); err != nil {
+		panic(fmt.Sprintf("mwmemnet: decode %T: %v", v, err))
+	}
+	return size, out
+}
--- /dev/null
+++ b/mwlib/mwmemnet/network.go
@@ -0,0 +1,200 @@
+// Package mwmemnet holds a stand-in for the network between nodes: calls in
+// memory with latency, loss and cuts as they are told.
+package mwmemnet
+
+import (
+	"context"
+	"math/rand/v2"
+	"reflect"
+	"strings"
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Place is where a peer stands.
+type Place struct {
+	Address mwid.Address
+	Zone    mwid.ZoneName
+	Region  mwid.RegionName
+}
+
+// Network joins peers. A message on its way that is cut or lost is silent:
+// the caller learns of it by its own deadline. Messages and answers are
+// encoded and decoded as net/rpc does on a connection that stays open, so
+// that their bytes and their cost are real.
+type Network struct {
+	peers   *mwshard.Map[mwid.Address, *Peer]
+	codecs  *mwshard.Map[string, *codecs]
+	latency func(from, to Place) time.Duration
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	lost    func(from, to Place) bool
+}
+
+// Latencies of the brief, one way.
+const (
+	SameZone   = 100 * time.Microsecond
+	SameRegion = 250 * time.Microsecond
+	FarRegion  = 10 * time.Millisecond
+)
+
+// Latency returns the one-way latency between two places.
+func Latency(from, to Place) time.Duration {
+	switch {
+	case from.Zone == to.Zone:
+		return SameZone
+	case from.Region == to.Region:
+		return SameRegion
+	default:
+		return FarRegion
+	}
+}
+
+// WithLatency sets the one-way latency in place of Latency.
+func WithLatency(f func(from, to Place) time.Duration) mwoption.Option[Network] {
+	return func(n *Network) { n.latency = f }
+}
+
+// New returns a Network without peers; seed decides the order of losses.
+func New(seed uint64, opts ...mwoption.Option[Network]) *Network {
+	n := &Network{
+		peers:   mwshard.New[mwid.Address, *Peer](mwshard.DefaultShards),
+		codecs:  mwshard.New[string, *codecs](mwshard.DefaultShards),
+		latency: Latency,
+		rnd:     rand.New(rand.NewPCG(seed, seed)),
+	}
+	mwoption.Apply(n, opts...)
+	return n
+}
+
+// SetLost sets which messages are lost, for each direction by itself; nil
+// stands for none.
+func (n *Network) SetLost(f func(from, to Place) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lost = f
+}
+
+// Chance returns true with probability p, by the seed of n. It may be used
+// in the function given to SetLost.
+func (n *Network) Chance(p mwunit.Ratio) bool { return n.rnd.Float64() < float64(p) }
+
+func (n *Network) loses(from, to Place) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lost != nil && n.lost(from, to)
+}
+
+// Join returns a new peer at p; it takes the place of an earlier one at the
+// same address. The returned function takes it off the network.
+func (n *Network) Join(p Place) (*Peer, func()) {
+	x := &Peer{net: n, place: p, handlers: mwshard.New[string, reflect.Value](1)}
+	n.peers.Set(p.Address, x)
+	return x, func() {
+		n.peers.Update(p.Address, func(y *Peer, ok bool) (*Peer, bool) { return y, ok && x != y })
+	}
+}
+
+// Peer is one peer's end of the Network; it implements mwkernel.Peers.
+type Peer struct {
+	net      *Network
+	place    Place
+	handlers *mwshard.Map[string, reflect.Value]
+	mu       sync.Mutex
+	traffic  Traffic
+}
+
+// Traffic counts messages and their bytes, without the headers of TCP/IP.
+type Traffic struct {
+	Calls    int
+	Served   int
+	Sent     mwunit.Bytes
+	Received mwunit.Bytes
+}
+
+// Traffic returns the traffic of p so far.
+func (p *Peer) Traffic() Traffic {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.traffic
+}
+
+func (p *Peer) count(t Traffic) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.traffic.Calls += t.Calls
+	p.traffic.Served += t.Served
+	p.traffic.Sent += t.Sent
+	p.traffic.Received += t.Received
+}
+
+// Handle serves the methods of rcvr under name.
+func (p *Peer) Handle(name string, rcvr any) error {
+	v := reflect.ValueOf(rcvr)
+	for i := range v.NumMethod() {
+		p.handlers.Set(name+"."+v.Type().Method(i).Name, v.Method(i))
+	}
+	return nil
+}
+
+// Call calls method at addr.
+func (p *Peer) Call(ctx context.Context, addr mwid.Address, method string, req, res any) error {
+	n := p.net
+	to := Place{Address: addr}
+	q, ok := n.peers.Get(addr)
+	if ok {
+		to = q.place
+	}
+	size, arg := n.codecsOf(method, "request").carry(req)
+	p.count(Traffic{Calls: 1, Sent: size})
+	if err := n.travel(ctx, p.place, to, ok); err != nil {
+		return err
+	}
+	f, ok := q.handlers.Get(method)
+	if !ok {
+		return mwcode.New(mwcode.Internal, mwcode.Field(method))
+	}
+	q.count(Traffic{Served: 1, Received: size})
+	out := reflect.New(f.Type().In(1).Elem())
+	if err, _ := f.Call([]reflect.Value{arg, out})[0].Interface().(error); err != nil {
+		return err
+	}
+	size, back := n.codecsOf(method, "reply").carry(out.Interface())
+	q.count(Traffic{Sent: size})
+	if err := n.travel(ctx, to, p.place, true); err != nil {
+		return err
+	}
+	p.count(Traffic{Received: size})
+	reflect.ValueOf(res).Elem().Set(back.Elem())
+	return nil
+}
+
+// travel waits while a message is on its way.
+func (n *Network) travel(ctx context.Context, from, to Place, there bool) error {
+	if !there || n.loses(from, to) {
+		<-ctx.Done()
+		return mwcode.New(mwcode.Unreachable, mwcode.Field(string(to.Address)))
+	}
+	t := time.NewTimer(n.latency(from, to))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+		return mwcode.New(mwcode.Unreachable, mwcode.Field(string(to.Address)))
+	}
+	if x, ok := n.peers.Get(from.Address); !ok || x.place != from {
+		<-ctx.Done() // The sender is gone.
+	}
+	return nil
+}
+
+func (n *Network) codecsOf(method, part string) *codecs {
+	k := strings.Join([]string{method, part}, " ")
+	return n.codecs.GetOrSet(k, func() *codecs { return &codecs{} })
+}
--- /dev/null
+++ b/mwlib/mwoperator/diff.go
@@ -0,0 +1,88 @@
+package mwoperator
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"strings"
+
+	"mustardwheel.example/mwlib/mwconfig"
+)
+
+// LineOp tells on which side of a difference a line stands.
+type LineOp byte
+
+// Sides of a difference.
+const (
+	Same    LineOp = ' '
+	Removed LineOp = '-'
+	Added   LineOp = '+'
+)
+
+// Line is one line of a difference.
+type Line struct {
+	Op   LineOp
+	Text string
+}
+
+// String returns the line with its sign in front.
+func (l Line) String() string { return string(l.Op) + " " + l.Text }
+
+// Diff returns the difference from document a to document b, line by line of
+// their indented JSON; nil stands for no document.
+func Diff(a, b *mwconfig.Document) []Line {
+	x, y := lines(a), lines(b)
+	common := commonLines(x, y)
+	var out []Line
+	i, j := 0, 0
+	for i < len(x) || j < len(y) {
+		switch {
+		case i < len(x) && j < len(y) && x[i] == y[j]:
+			out = append(out, Line{Same, x[i]})
+			i++
+			j++
+		case j == len(y) || (i < len(x) && common[i+1][j] >= common[i][j+1]):
+			out = append(out, Line{Removed, x[i]})
+			i++
+		default:
+			out = append(out, Line{Added, y[j]})
+			j++
+		}
+	}
+	return out
+}
+
+// lines returns the indented JSON of d in lines.
+func lines(d *mwconfig.Document) []string {
+	if d == nil {
+		return nil
+	}
+	raw, err := json.Marshal(d)
+	if err != nil {
+		return strings.Split(string(d.Spec), "\n")
+	}
+	var b bytes.Buffer
+	if err := json.Indent(&b, raw, "", "  "); err != nil {
+		return []string{string(raw)}
+	}
+	return slices.Collect(strings.SplitSeq(b.String(), "\n"))
+}
+
+// commonLines returns, for each pair of suffixes of x and y, the length of
+// their longest common subsequence.
+func commonLines(x, y []string) [][]int {
+	t := make([][]int, len(x)+1)
+	for i := range t {
+		t[i] = make([]int, len(y)+1)
+	}
+	for i := len(x) - 1; i >= 0; i-- {
+		for j := len(y) - 1; j >= 0; j-- {
+			if x[i] == y[j] {
+				t[i][j] = t[i+1][j+1] + 1
+				continue
+			}
+			t[i][j] = max(t[i+1][j], t[i][j+1])
+		}
+	}
+	return t
+}
