--- /dev/null
+++ b/mwbench/internal/mwload/load_test.go
@@ -0,0 +1,109 @@
+package mwload_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwbench/internal/mwload"
+)
+
+func steady(k mwload.Kind) mwload.Stream {
+	return mwload.Stream{Kind: k, Steps: []mwload.Step{
+		{For: 10 * time.Second, Rate: 100}, {For: 10 * time.Second}, {For: 10 * time.Second, Rate: 300},
+	}}
+}
+
+func TestShotsFollowTheRates(t *testing.T) {
+	c := qt.New(t)
+	shots := mwload.Shots(1, steady("a"))
+	var counts [3]int
+	for _, s := range shots {
+		counts[s.At/(10*time.Second)]++
+	}
+	c.Assert(counts[0] > 900 && counts[0] < 1100, qt.IsTrue, qt.Commentf("%v", counts))
+	c.Assert(counts[1], qt.Equals, 0)
+	c.Assert(counts[2] > 2800 && counts[2] < 3200, qt.IsTrue, qt.Commentf("%v", counts))
+}
+
+func TestShotsDependOnSeedAndKindAlone(t *testing.T) {
+	c := qt.New(t)
+	alone := mwload.Shots(1, steady("a"))
+	var among []mwload.Shot
+	for _, s := range mwload.Shots(1, steady("b"), steady("a")) {
+		if s.Kind == "a" {
+			among = append(among, s)
+		}
+	}
+	c.Assert(among, qt.DeepEquals, alone)
+	c.Assert(mwload.Shots(2, steady("a")), qt.Not(qt.DeepEquals), alone)
+}
+
+// TestRunIsOpenLoop has a server that works on one request at a time, slower
+// than they come: a closed loop would send fewer and hide the wait.
+func TestRunIsOpenLoop(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		shots := []mwload.Shot{{At: 0, Kind: "a"}, {At: time.Second, Kind: "a"}, {At: 2 * time.Second, Kind: "a"}}
+		slot := make(chan struct{}, 1)
+		do := func(context.Context, mwload.Shot) mwload.Outcome {
+			slot <- struct{}{}
+			defer func() { <-slot }()
+			time.Sleep(3 * time.Second)
+			return mwload.Outcome{OK: true, Work: 3 * time.Second}
+		}
+		tally := mwload.NewTally(time.Second)
+		start := time.Now()
+		mwload.Run(t.Context(), shots, do, tally.Keep)
+		c.Assert(time.Since(start), qt.Equals, 9*time.Second)
+		took := func(from time.Duration) time.Duration {
+			return tally.Sum(mwload.Span{From: from, To: from + time.Second}, "a").Took(100).Round(10 * time.Millisecond)
+		}
+		c.Assert(took(0), qt.Equals, 3*time.Second)
+		c.Assert(took(time.Second), qt.Equals, 5*time.Second)
+		c.Assert(took(2*time.Second), qt.Equals, 7*time.Second)
+		all := tally.Sum(mwload.Span{To: time.Minute}, "a")
+		c.Assert(all.Wait(100).Round(10*time.Millisecond), qt.Equals, 4*time.Second)
+	})
+}
+
+func TestRunStopsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		tally := mwload.NewTally(time.Second)
+		mwload.Run(ctx, mwload.Shots(1, steady("a")), func(context.Context, mwload.Shot) mwload.Outcome {
+			return mwload.Outcome{OK: true}
+		}, tally.Keep)
+		n := tally.Sum(mwload.Span{To: time.Minute}, "a").Sent
+		c.Assert(n > 400 && n < 600, qt.IsTrue, qt.Commentf("%d", n))
+	})
+}
+
+func TestRecovery(t *testing.T) {
+	tests := []struct {
+		name string
+		bad  int
+		want time.Duration
+	}{
+		{name: "at once", bad: 0, want: 0},
+		{name: "after three windows", bad: 3, want: 3 * time.Second},
+		{name: "never", bad: 10, want: 10 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			tally := mwload.NewTally(time.Second)
+			for i := range 10 {
+				s := mwload.Shot{At: time.Duration(5+i) * time.Second, Kind: "a"}
+				tally.Keep(mwload.Result{Shot: s, Outcome: mwload.Outcome{OK: i >= test.bad}})
+			}
+			sp := mwload.Span{From: 5 * time.Second, To: 15 * time.Second}
+			c.Assert(tally.Recovery(sp, 0.99, "a"), qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/mwbench/internal/mwload/tally.go
@@ -0,0 +1,167 @@
+package mwload
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Bounds of the histograms, in microseconds, and their precision.
+const (
+	minMicros = 1
+	maxMicros = 120_000_000
+	digits    = 3
+)
+
+// Tally keeps the results of a run by kind and by window of the intended
+// start. Each kind and window is a key of its own, so that requests seldom
+// wait for each other.
+type Tally struct {
+	width time.Duration
+	m     *mwshard.Map[cell, *sums]
+}
+
+// cell is one kind in one window.
+type cell struct {
+	kind   Kind
+	window int
+}
+
+// sums are the results of one cell; its shard's lock guards it.
+type sums struct {
+	Counts
+	took *hdrhistogram.Histogram
+	wait *hdrhistogram.Histogram
+}
+
+// Counts counts requests.
+type Counts struct {
+	Sent  int
+	OK    int
+	Tries mwunit.Attempts
+}
+
+// OKRatio returns the part of the requests that were answered in time; it is
+// 1 where there was none.
+func (c Counts) OKRatio() mwunit.Ratio {
+	if c.Sent == 0 {
+		return 1
+	}
+	return mwunit.Ratio(c.OK) / mwunit.Ratio(c.Sent)
+}
+
+// NewTally returns a Tally with windows of the given width.
+func NewTally(width time.Duration) *Tally {
+	return &Tally{width: width, m: mwshard.New[cell, *sums](mwshard.DefaultShards)}
+}
+
+func newSums() *sums {
+	return &sums{
+		took: hdrhistogram.New(minMicros, maxMicros, digits),
+		wait: hdrhistogram.New(minMicros, maxMicros, digits),
+	}
+}
+
+// Keep adds r.
+func (t *Tally) Keep(r Result) {
+	k := cell{kind: r.Kind, window: int(r.At / t.width)}
+	t.m.Update(k, func(s *sums, ok bool) (*sums, bool) {
+		if !ok {
+			s = newSums()
+		}
+		s.add(r)
+		return s, true
+	})
+}
+
+func (s *sums) add(r Result) {
+	s.Sent++
+	s.Tries += r.Tries
+	if !r.OK {
+		return
+	}
+	s.OK++
+	record(s.took, r.Took)
+	record(s.wait, r.Took-r.Work)
+}
+
+// record adds d, or the nearest bound.
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// The value is within the bounds, so that there is no error.
+	_ = h.RecordValue(min(max(d.Microseconds(), minMicros), maxMicros))
+}
+
+// Span is a part of a run: [From, To).
+type Span struct {
+	From time.Duration
+	To   time.Duration
+}
+
+// Summary is what came of the requests of a kind in a span.
+type Summary struct {
+	Counts
+	span Span
+	took *hdrhistogram.Histogram
+	wait *hdrhistogram.Histogram
+}
+
+// Sum returns the results of the kinds ks whose windows start in sp.
+func (t *Tally) Sum(sp Span, ks ...Kind) Summary {
+	out := Summary{span: sp}
+	all := newSums()
+	t.m.Range(func(c cell, s *sums) bool {
+		if at := time.Duration(c.window) * t.width; at < sp.From || at >= sp.To || !has(ks, c.kind) {
+			return true
+		}
+		all.Sent, all.OK, all.Tries = all.Sent+s.Sent, all.OK+s.OK, all.Tries+s.Tries
+		all.took.Merge(s.took)
+		all.wait.Merge(s.wait)
+		return true
+	})
+	out.Counts, out.took, out.wait = all.Counts, all.took, all.wait
+	return out
+}
+
+func has(ks []Kind, k Kind) bool {
+	for _, x := range ks {
+		if x == k {
+			return true
+		}
+	}
+	return false
+}
+
+// Goodput returns the requests answered in time, for each second of the
+// span.
+func (s Summary) Goodput() mwunit.PerSecond {
+	return mwunit.PerSecond(float64(s.OK) / (s.span.To - s.span.From).Seconds())
+}
+
+// Percentile is from 0 to 100.
+type Percentile float64
+
+// Took returns the percentile p of the times from intended start to end.
+func (s Summary) Took(p Percentile) time.Duration { return at(s.took, p) }
+
+// Wait returns the percentile p of the times that were not work.
+func (s Summary) Wait(p Percentile) time.Duration { return at(s.wait, p) }
+
+func at(h *hdrhistogram.Histogram, p Percentile) time.Duration {
+	return time.Duration(h.ValueAtQuantile(float64(p))) * time.Microsecond
+}
+
+// Recovery returns how long after from the part of the requests of ks that
+// are answered in time stays at floor or above, up to the end of the span to.
+// It returns the length of the whole span where it never does.
+func (t *Tally) Recovery(sp Span, floor mwunit.Ratio, ks ...Kind) time.Duration {
+	var d time.Duration
+	for at := sp.From; at < sp.To; at += t.width {
+		if t.Sum(Span{From: at, To: at + t.width}, ks...).OKRatio() < floor {
+			d = at + t.width - sp.From
+		}
+	}
+	return d
+}
