mwctl: add the operators' command line

A change whose outcome is not known is asked for again under its operation id; a conflict prints both revisions and the difference.

--- /dev/null
+++ b/mwctl/change.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"fmt"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoperator"
+)
+
+// operator returns the operators' side of the configuration.
+func (e *env) operator() *mwoperator.Operator { return mwoperator.New(e.store) }
+
+// change applies edits under operation id op, a new one where op is empty,
+// and prints what is known of it: that the change is accepted, not where it
+// is in force.
+func (e *env) change(op mwid.OperationID, edits []mwoperator.Edit) error {
+	who, err := e.global.operator()
+	if err != nil {
+		return err
+	}
+	o := e.operator()
+	if op == "" {
+		op = mwid.NewOperationID()
+	}
+	r, err := o.Apply(e.ctx, op, who, edits)
+	if mwcode.Of(err) == mwcode.StoreUnknown {
+		return fmt.Errorf("ask again with --operation %s: %w", op, err)
+	}
+	if c, ok := mwoperator.AsConflict(err); ok {
+		e.explainConflict(c, edits)
+	}
+	if err != nil {
+		return err
+	}
+	return e.accepted(op, r)
+}
+
+// accepted is the output of a change.
+type accepted struct {
+	Operation mwid.OperationID
+	Version   mwid.Version
+}
+
+func (e *env) accepted(op mwid.OperationID, r mwoperator.Receipt) error {
+	t := &table{head: []string{"STATE", "VERSION", "OPERATION"}}
+	t.add("accepted", r.Version, op)
+	return e.print(accepted{op, r.Version}, t)
+}
+
+// resumed prints the receipt of an earlier try under op; done is false where
+// that did not take effect.
+func (e *env) resumed(o *mwoperator.Operator, op mwid.OperationID) (done bool, err error) {
+	if op == "" {
+		return false, nil
+	}
+	r, ok, err := o.LookUp(e.ctx, op)
+	if err != nil || !ok {
+		return false, err
+	}
+	return true, e.accepted(op, r)
+}
+
+// explainConflict prints the difference between what is stored and what the
+// operator asked for.
+func (e *env) explainConflict(c *mwoperator.ConflictError, edits []mwoperator.Edit) {
+	for _, x := range edits {
+		if x.Document.Kind == c.Kind && x.Document.Name == c.Name {
+			e.printDiff(mwoperator.Diff(c.Present, &x.Document))
+		}
+	}
+}
--- /dev/null
+++ b/mwctl/delete.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoperator"
+)
+
+// remove is the verb that deletes a document.
+type remove struct {
+	Operation mwid.OperationID `long:"operation" description:"id of an earlier try whose outcome is not known; it is never made twice"`
+	Revision  mwid.Revision    `long:"revision" description:"revision that must be stored; the present one by default"`
+	Args      document         `positional-args:"yes" required:"yes"`
+}
+
+// run deletes the document where it is still at the revision seen.
+func (v *remove) run(e *env) error {
+	o := e.operator()
+	if done, err := e.resumed(o, v.Operation); done || err != nil {
+		return err
+	}
+	rev := v.Revision
+	if rev == 0 {
+		s, err := o.Get(e.ctx, v.Args.Kind, v.Args.Name)
+		if err != nil {
+			return err
+		}
+		rev = s.Revision
+	}
+	return e.change(v.Operation, []mwoperator.Edit{{
+		Document: mwconfig.Document{Kind: v.Args.Kind, Name: v.Args.Name},
+		Expected: rev, Delete: true,
+	}})
+}
--- /dev/null
+++ b/mwctl/list.go
@@ -0,0 +1,24 @@
+package main
+
+import "mustardwheel.example/mwlib/mwconfig"
+
+// list is the verb that lists documents.
+type list struct {
+	Args struct {
+		Kind mwconfig.Kind `positional-arg-name:"KIND" description:"kind of the documents; all where it is left out"`
+	} `positional-args:"yes"`
+}
+
+// run prints the documents in order of kind and name.
+func (v *list) run(e *env) error {
+	o := e.operator()
+	stored, err := o.List(e.ctx, v.Args.Kind)
+	if err != nil {
+		return err
+	}
+	t := &table{head: []string{"KIND", "NAME", "REVISION"}}
+	for _, s := range stored {
+		t.add(s.Document.Kind, s.Document.Name, s.Revision)
+	}
+	return e.print(stored, t)
+}
--- /dev/null
+++ b/mwctl/main.go
@@ -0,0 +1,127 @@
+// Mwctl is the operators' command line. Each verb has a file of its own.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwstorehttp"
+	"mustardwheel.example/mwlib/mwversioninfo"
+)
+
+// Exit codes; docs/OPERATIONS.md has the table.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitInput    = 2
+	exitConflict = 3
+	exitAway     = 4
+	exitUnknown  = 5
+)
+
+// env is what a verb works with.
+type env struct {
+	global *global
+	ctx    context.Context
+	out    io.Writer
+	store  mwstore.Store
+}
+
+// verb is one command of mwctl.
+type verb interface {
+	run(e *env) error
+}
+
+// entry registers one verb with the command line.
+type entry struct {
+	name, short, long string
+	verb              verb
+}
+
+// verbs are all verbs in the order of the help text.
+func verbs() []entry {
+	return []entry{
+		{"apply", "apply documents", "Write the documents of files as one change.", &apply{}},
+		{"get", "print one document", "Print the document of a kind and a name.", &get{}},
+		{"list", "list documents", "List the documents, of one kind or of all.", &list{}},
+		{"delete", "delete a document", "Delete the document of a kind and a name.", &remove{}},
+		{"diff", "compare files with what is stored", "Show what apply would change.", &diff{}},
+		{"history", "print the audit trail", "Print accepted changes, newest first.", &history{}},
+		{"status", "show what is in force where", "Show the version in force in each availability zone, and who can't be heard.", &status{}},
+		{"targets", "list targets", "List the targets that a node knows.", &targets{}},
+		{"explain", "explain a decision", "Show which selectors match a call and whether it would be admitted.", &explain{}},
+		{"drain", "drain nodes", "Let nodes finish their calls and end.", &drain{}},
+	}
+}
+
+func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
+
+// run runs one command line and returns the exit code.
+func run(args []string, out, errOut io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	g := &global{}
+	p := flags.NewNamedParser("mwctl", flags.HelpFlag|flags.PassDoubleDash)
+	p.ShortDescription = "operate mustardwheel"
+	if _, err := p.AddGroup("Global options", "", g); err != nil {
+		return fail(errOut, err)
+	}
+	all := verbs()
+	for _, v := range all {
+		if _, err := p.AddCommand(v.name, v.short, v.long, v.verb); err != nil {
+			return fail(errOut, err)
+		}
+	}
+	_, err := p.ParseArgs(args)
+	if g.Version {
+		fmt.Fprintln(out, mwversioninfo.String())
+		return exitOK
+	}
+	if help, ok := errors.AsType[*flags.Error](err); ok && help.Type == flags.ErrHelp {
+		fmt.Fprintln(out, help.Message)
+		return exitOK
+	}
+	if err != nil {
+		return fail(errOut, mwcode.New(mwcode.BadCommand, mwcode.Wrap(err)))
+	}
+	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
+	defer cancel()
+	store, end := mwstorehttp.NewClient(g.Store)
+	defer end()
+	if err := active(all, p).run(&env{global: g, ctx: ctx, out: out, store: store}); err != nil {
+		return fail(errOut, err)
+	}
+	return exitOK
+}
+
+// active returns the verb that p has chosen.
+func active(all []entry, p *flags.Parser) verb {
+	i := slices.IndexFunc(all, func(e entry) bool { return e.name == p.Active.Name })
+	return all[i].verb
+}
+
+// fail prints err and returns its exit code.
+func fail(w io.Writer, err error) int {
+	fmt.Fprintln(w, "mwctl:", err)
+	c := mwcode.Of(err)
+	switch {
+	case c == mwcode.Conflict:
+		return exitConflict
+	case c == mwcode.StoreAway, c == mwcode.StoreSlow, c == mwcode.Unreachable:
+		return exitAway
+	case c == mwcode.StoreUnknown:
+		return exitUnknown
+	case c >= mwcode.UnknownPlugin && c < mwcode.Conflict:
+		return exitInput
+	}
+	return exitFailed
+}
--- a/mwlib/mwoperator/diff.go
+++ b/mwlib/mwoperator/diff.go
@@ -86,3 +86,6 @@
 	}
 	return t
 }
+
+// Differs tells whether two documents of one kind and name have other specs.
+func Differs(a, b *mwconfig.Document) bool { return !sameSpec(a.Spec, b.Spec) }
--- /dev/null
+++ b/mwlib/mwoperator/lookup.go
@@ -0,0 +1,18 @@
+package mwoperator
+
+import (
+	"context"
+
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// LookUp returns the receipt of operation op; ok is false where no change was
+// made under it so far.
+func (o *Operator) LookUp(ctx context.Context, op mwid.OperationID) (r Receipt, ok bool, err error) {
+	v, rev, err := row[mwconfig.VersionRow](ctx, o.store, mwconfig.OperationKey(op))
+	if err != nil || rev == 0 {
+		return Receipt{}, false, err
+	}
+	return Receipt{Version: v.Version, Revision: rev}, true, nil
+}
