--- /dev/null
+++ b/mwlib/mwretry/latency.go
@@ -0,0 +1,77 @@
+package mwretry
+
+import (
+	"math"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwshard"
+)
+
+// latencies estimates the 95th percentile of each service's answer times by a
+// step up for each slower answer and a smaller step down for each faster one.
+// It needs two numbers a service, no histogram.
+type latencies struct {
+	m *mwshard.Map[mwid.ServiceName, quantile]
+}
+
+type quantile struct {
+	value float64 // value is the estimate in nanoseconds.
+	seen  int
+	used  time.Time
+}
+
+const (
+	quantileOf    = 0.95
+	quantileStep  = 0.05 // quantileStep is the step as a part of the estimate.
+	minSamples    = 50
+	minHedgeDelay = time.Millisecond
+	maxServices   = 4096
+)
+
+func newLatencies() *latencies {
+	return &latencies{m: mwshard.New[mwid.ServiceName, quantile](mwshard.DefaultShards)}
+}
+
+func (l *latencies) p95(s mwid.ServiceName) (time.Duration, bool) {
+	q, ok := l.m.Get(s)
+	if !ok || q.seen < minSamples {
+		return 0, false
+	}
+	return max(time.Duration(q.value), minHedgeDelay), true
+}
+
+// observe learns from one attempt. Refusals come fast and say nothing of the
+// answer time. An attempt that was cancelled took at least as long as was
+// seen: above the estimate that is known to be slow, below it nothing is
+// known. Without the former, hedging would cut off the slow answers that its
+// own delay is learnt from.
+func (l *latencies) observe(s mwid.ServiceName, m mwcall.Sample, now time.Time) {
+	if m.Code != mwcode.OK && !m.Cancelled {
+		return
+	}
+	l.m.Update(s, func(q quantile, ok bool) (quantile, bool) {
+		q.used = now
+		if m.Cancelled && (!ok || float64(m.First) <= q.value) {
+			return q, ok
+		}
+		q.add(float64(m.First))
+		return q, true
+	})
+}
+
+func (q *quantile) add(v float64) {
+	q.seen = min(q.seen+1, math.MaxInt32)
+	if q.seen == 1 {
+		q.value = v
+		return
+	}
+	step := q.value * quantileStep
+	if v > q.value {
+		q.value += min(step*quantileOf/(1-quantileOf), v-q.value)
+		return
+	}
+	q.value -= min(step, q.value-v)
+}
