mwroute: add routers cost and random

Cost takes the better of two targets in the nearest tier that has room. Scores count as different only by a clear factor: without it the slower of two like targets got no calls at all and was never tried again.

--- /dev/null
+++ b/mwlib/mwroute/router_test.go
@@ -0,0 +1,270 @@
+package mwroute_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	_ "mustardwheel.example/mwlib/mwroute"
+	"mustardwheel.example/mwlib/mwset"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+const (
+	service = "auftrag"
+	picks   = 2000
+)
+
+var regionOf = map[mwid.ZoneName]mwid.RegionName{
+	"wien-a": "wien", "wien-b": "wien", "graz-a": "graz", "linz-a": "linz",
+}
+
+// bench is a router at a node in wien-a.
+type bench struct {
+	*qt.C
+	router  mwkernel.Router
+	metrics *metrics.Set
+}
+
+func newBench(c *qt.C, name mwregistry.Name) *bench {
+	set := &mwsetting.Node{Place: mwsetting.Place{Zone: "wien-a", Region: "wien"}}
+	set.Route = mwsetting.Route{EjectRatio: 0.34, FarRatio: 0.3, SlowFactor: 3, Warmup: 10 * time.Second}
+	m := metrics.NewSet()
+	r, end, err := mwkernel.Routers.Make(name, mwkernel.Env{Node: "here", Settings: set, Metrics: m})
+	c.Assert(err, qt.IsNil)
+	if end != nil {
+		c.Cleanup(end)
+	}
+	return &bench{C: c, router: r, metrics: m}
+}
+
+// targets returns n targets in each of zones, known for long.
+func targets(n int, zones ...mwid.ZoneName) []mwcall.Target {
+	var ts []mwcall.Target
+	for _, z := range zones {
+		for i := range n {
+			ts = append(ts, mwcall.Target{
+				Node: mwid.NodeID(fmt.Sprintf("%s-%d", z, i)), Service: service,
+				Zone: z, Region: regionOf[z], Slots: 90,
+			})
+		}
+	}
+	return ts
+}
+
+func call() *mwcall.Call { return &mwcall.Call{Service: service} }
+
+func (b *bench) pick(c *mwcall.Call, ts []mwcall.Target) (mwcall.Target, error) {
+	return b.router.Pick(c, ts, mwset.New[mwid.NodeID]())
+}
+
+// answer makes t answer one call with h after took.
+func (b *bench) answer(t mwcall.Target, h mwcall.Head, took time.Duration) {
+	b.router.Begin(call(), t)(h, mwcall.Sample{Took: took, First: took, Code: h.Code})
+}
+
+// shares picks often and returns how many calls each zone got.
+func (b *bench) shares(c *mwcall.Call, ts []mwcall.Target) map[mwid.ZoneName]int {
+	got := make(map[mwid.ZoneName]int)
+	for range picks {
+		t, err := b.pick(c, ts)
+		if err != nil {
+			got[mwid.ZoneName(mwcode.Of(err).String())]++
+			continue
+		}
+		got[t.Zone]++
+		b.answer(t, mwcall.Head{}, time.Millisecond)
+	}
+	return got
+}
+
+// each sets every target of ts that is in one of zones.
+func each(ts []mwcall.Target, s mwcall.TargetState, zones ...mwid.ZoneName) []mwcall.Target {
+	in := mwset.New(zones...)
+	for i := range ts {
+		if in.Has(ts[i].Zone) {
+			ts[i].State = s
+		}
+	}
+	return ts
+}
+
+func TestNearestThatCanServe(t *testing.T) {
+	all := func() []mwcall.Target { return targets(3, "wien-a", "wien-b", "graz-a", "linz-a") }
+	tests := []struct {
+		name string
+		ts   []mwcall.Target
+		want []mwid.ZoneName
+	}{
+		{"own zone", all(), []mwid.ZoneName{"wien-a"}},
+		{"own region", each(all(), mwcall.Leaving, "wien-a"), []mwid.ZoneName{"wien-b"}},
+		{"far", each(all(), mwcall.Leaving, "wien-a", "wien-b"), []mwid.ZoneName{"graz-a", "linz-a"}},
+		{"suspects before unreachable ones",
+			each(each(all(), mwcall.Suspect, "linz-a"), mwcall.Unreachable, "wien-a", "wien-b", "graz-a"),
+			[]mwid.ZoneName{"linz-a"}},
+		{"unreachable ones where nothing else is left",
+			each(targets(2, "graz-a"), mwcall.Unreachable, "graz-a"), []mwid.ZoneName{"graz-a"}},
+		{"never a leaving one", each(targets(2, "wien-a"), mwcall.Leaving, "wien-a"), []mwid.ZoneName{"NoTarget"}},
+		{"none", nil, []mwid.ZoneName{"NoTarget"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(qt.New(t), "cost")
+				want := mwset.New(test.want...)
+				for z := range b.shares(call(), test.ts) {
+					b.Check(want.Has(z), qt.IsTrue, qt.Commentf("picked %s", z))
+				}
+			})
+		})
+	}
+}
+
+func TestTriedTargetsAreLeftOut(t *testing.T) {
+	for _, name := range []mwregistry.Name{"cost", "random"} {
+		t.Run(string(name), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(qt.New(t), name)
+				ts, tried := targets(2, "wien-a", "graz-a"), mwset.New[mwid.NodeID]()
+				for range ts {
+					got, err := b.router.Pick(call(), ts, tried)
+					b.Assert(err, qt.IsNil)
+					b.Assert(tried.Has(got.Node), qt.IsFalse)
+					tried.Add(got.Node)
+				}
+				_, err := b.router.Pick(call(), ts, tried)
+				b.Assert(mwcode.Of(err), qt.Equals, mwcode.NoTarget)
+			})
+		})
+	}
+}
+
+func TestSpill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(3, "wien-a", "graz-a")
+		refuse := func() {
+			for _, tg := range ts[:3] {
+				b.answer(tg, mwcall.Head{Code: mwcode.Overloaded}, time.Millisecond)
+			}
+		}
+		refuse()
+		got := b.shares(call(), ts)
+		b.Check(got["graz-a"] > 0, qt.IsTrue)
+		b.Check(float64(got["graz-a"]) <= 20+0.3*picks, qt.IsTrue, qt.Commentf("spilled %d", got["graz-a"]))
+		long := call()
+		long.Class.Length = mwconfig.Long
+		refuse()
+		b.Check(b.shares(long, ts)["graz-a"], qt.Equals, 0)
+		time.Sleep(time.Second)
+		b.Check(b.shares(call(), ts)["wien-a"], qt.Equals, picks)
+	})
+}
+
+func TestEarlyRefusal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(3, "wien-a")
+		high := mwcall.NewPriority(90, false, "r")
+		for _, tg := range ts {
+			b.answer(tg, mwcall.Head{Code: mwcode.Overloaded, Threshold: high}, time.Millisecond)
+		}
+		low, orders := call(), call()
+		orders.Class.Priority = high
+		probes := 0
+		for range picks {
+			if _, err := b.pick(low, ts); err == nil {
+				probes++
+			} else {
+				b.Assert(mwcode.Of(err), qt.Equals, mwcode.EarlyRefusal)
+			}
+			_, err := b.pick(orders, ts)
+			b.Assert(err, qt.IsNil)
+		}
+		b.Check(probes > 0 && probes < picks/20, qt.IsTrue, qt.Commentf("%d probes", probes))
+		time.Sleep(2 * time.Second)
+		_, err := b.pick(low, ts)
+		b.Check(err, qt.IsNil, qt.Commentf("the threshold has lapsed"))
+	})
+}
+
+func TestSlowTargetIsEjectedAndComesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(6, "wien-a")
+		for range 20 {
+			for i, tg := range ts {
+				took := 5 * time.Millisecond
+				if i == 0 {
+					took *= 10
+				}
+				b.answer(tg, mwcall.Head{}, took)
+			}
+		}
+		time.Sleep(time.Second)
+		count := func() int {
+			n := 0
+			for range picks {
+				if tg, _ := b.pick(call(), ts); tg.Node == ts[0].Node {
+					n++
+				}
+			}
+			return n
+		}
+		b.Check(count(), qt.Equals, 0)
+		time.Sleep(30 * time.Second)
+		b.Check(count() > 0, qt.IsTrue, qt.Commentf("it is tried again"))
+	})
+}
+
+func TestEjectionIsCapped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(6, "wien-a")
+		for _, tg := range ts {
+			b.answer(tg, mwcall.Head{Code: mwcode.Silent}, time.Second)
+		}
+		got := b.shares(call(), ts)
+		b.Check(got["wien-a"], qt.Equals, picks, qt.Commentf("a cut off service is still tried"))
+	})
+}
+
+func TestNewTargetStartsSlowly(t *testing.T) {
+	tests := []struct {
+		name     string
+		age      time.Duration
+		min, max mwunit.Ratio
+	}{
+		{"new", 0, 0.005, 0.08},
+		{"half warm", 5 * time.Second, 0.08, 0.2},
+		{"warm", 10 * time.Second, 0.2, 0.3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(qt.New(t), "cost")
+				ts := targets(4, "wien-a")
+				ts[0].Since = time.Now().Add(-test.age)
+				n := 0
+				for range picks {
+					if tg, _ := b.pick(call(), ts); tg.Node == ts[0].Node {
+						n++
+					}
+				}
+				share := mwunit.Ratio(n) / picks
+				b.Check(share >= test.min && share <= test.max, qt.IsTrue, qt.Commentf("share %v", share))
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mwlib/mwroute/view.go
@@ -0,0 +1,211 @@
+package mwroute
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// distance orders targets by what it costs to reach them.
+type distance int
+
+const (
+	self distance = iota
+	sameZone
+	sameRegion
+	otherRegion
+	distances // distances counts them.
+)
+
+// String returns the name that metrics use.
+func (d distance) String() string {
+	return [...]string{"self", "zone", "region", "far"}[d]
+}
+
+// tier is targets at one distance. All far targets of one region are one
+// tier, so that the cheapest region comes first.
+type tier struct {
+	tierKey
+	cost    time.Duration // cost is the median latency, which orders far regions.
+	targets []mwcall.Target
+}
+
+// tierKey names a tier; region is empty but for far ones.
+type tierKey struct {
+	distance distance
+	region   mwid.RegionName
+}
+
+// view is the targets of one service, ordered for picking. It never changes;
+// a new one is made when the known targets change and when it has aged.
+type view struct {
+	of      *mwcall.Target // of and n tell which slice the view was made from.
+	n       int
+	made    time.Time
+	tiers   []tier
+	last    []mwcall.Target // last is what is used where nothing better is left.
+	median  time.Duration
+	ejected int
+}
+
+// viewAge is how long a view holds.
+const viewAge = 100 * time.Millisecond
+
+func (v *view) holds(ts []mwcall.Target, now time.Time) bool {
+	return v.n == len(ts) && (v.n == 0 || v.of == &ts[0]) && now.Sub(v.made) < viewAge
+}
+
+// seen is a target with what is known of it.
+type seen struct {
+	mwcall.Target
+	state
+	ejected bool
+}
+
+// newView orders ts for the node at here.
+func newView(here mwcall.Target, ts []mwcall.Target, look func(targetKey) state, lim limits, now time.Time) *view {
+	v := &view{n: len(ts), made: now}
+	if len(ts) > 0 {
+		v.of = &ts[0]
+	}
+	all := make([]seen, 0, len(ts))
+	for _, t := range ts {
+		if t.State != mwcall.Leaving {
+			all = append(all, seen{Target: t, state: look(keyOf(t))})
+		}
+	}
+	v.median = median(all)
+	v.ejected = eject(all, v.median, lim, now)
+	v.place(here, all)
+	return v
+}
+
+// place puts each target into its tier. This node's own target is in the tier
+// of its zone too, to share the load where it has much.
+func (v *view) place(here mwcall.Target, all []seen) {
+	members := make(map[tierKey][]seen, distances)
+	for _, s := range all {
+		if s.ejected || s.State != mwcall.Up {
+			continue
+		}
+		for _, k := range tiersOf(here, s.Target) {
+			members[k] = append(members[k], s)
+		}
+	}
+	for k, ss := range members {
+		t := tier{tierKey: k, cost: median(ss)}
+		for _, s := range ss {
+			t.targets = append(t.targets, s.Target)
+		}
+		v.tiers = append(v.tiers, t)
+	}
+	slices.SortFunc(v.tiers, func(a, b tier) int {
+		return cmp.Or(cmp.Compare(a.distance, b.distance),
+			cmp.Compare(a.cost, b.cost), cmp.Compare(a.region, b.region))
+	})
+	v.last = lastResort(here, all)
+}
+
+// tiersOf returns the tiers that t belongs to.
+func tiersOf(here, t mwcall.Target) []tierKey {
+	switch d := distanceOf(here, t); d {
+	case self:
+		return []tierKey{{distance: self}, {distance: sameZone}}
+	case otherRegion:
+		return []tierKey{{distance: d, region: t.Region}}
+	default:
+		return []tierKey{{distance: d}}
+	}
+}
+
+// lastResort returns the targets that no tier has: ejected ones first, then
+// suspects, then those in zones that can't be heard; the nearer first.
+func lastResort(here mwcall.Target, all []seen) []mwcall.Target {
+	var ts []mwcall.Target
+	for _, s := range all {
+		if s.ejected || s.State != mwcall.Up {
+			ts = append(ts, s.Target)
+		}
+	}
+	slices.SortStableFunc(ts, func(a, b mwcall.Target) int {
+		return cmp.Or(cmp.Compare(a.State, b.State),
+			cmp.Compare(distanceOf(here, a), distanceOf(here, b)))
+	})
+	return ts
+}
+
+func distanceOf(here, t mwcall.Target) distance {
+	switch {
+	case t.Node == here.Node:
+		return self
+	case t.Zone == here.Zone:
+		return sameZone
+	case t.Region == here.Region:
+		return sameRegion
+	}
+	return otherRegion
+}
+
+// minSamples is how many answers of a target count as knowing its latency.
+const minSamples = 5
+
+// median returns the median of the mean latencies that are known, or 0.
+func median(all []seen) time.Duration {
+	ds := make([]time.Duration, 0, len(all))
+	for _, s := range all {
+		if s.samples >= minSamples {
+			ds = append(ds, s.mean)
+		}
+	}
+	if len(ds) == 0 {
+		return 0
+	}
+	slices.Sort(ds)
+	return ds[(len(ds)-1)/2]
+}
+
+// limits bound the ejection.
+type limits struct {
+	ejectRatio mwunit.Ratio
+	slowFactor mwunit.Ratio
+}
+
+// eject marks targets that are slow against the median or can't be reached,
+// the worst first, up to the part of all that may be ejected; it returns how
+// many. What is not ejected for the bound stays in use: where most targets
+// look bad, the fault may well lie on the way to them.
+func eject(all []seen, median time.Duration, lim limits, now time.Time) int {
+	var bad []*seen
+	for i := range all {
+		s := &all[i]
+		if s.State == mwcall.Up && (now.Before(s.downUntil) || s.slow(median, lim, now)) {
+			bad = append(bad, s)
+		}
+	}
+	slices.SortStableFunc(bad, func(a, b *seen) int {
+		return cmp.Or(b.downUntil.Compare(a.downUntil), cmp.Compare(b.mean, a.mean))
+	})
+	n := min(len(bad), int(float64(lim.ejectRatio)*float64(len(all))))
+	for _, s := range bad[:n] {
+		s.ejected = true
+	}
+	return n
+}
+
+// slowFor is how long a target counts as slow after its last answer; then it
+// is tried again.
+const slowFor = 5 * time.Second
+
+// slowFloor is the latency below which nothing is slow.
+const slowFloor = 2 * time.Millisecond
+
+func (s *seen) slow(median time.Duration, lim limits, now time.Time) bool {
+	if s.samples < minSamples || now.Sub(s.state.seen) >= slowFor {
+		return false
+	}
+	return s.mean > slowFloor && float64(s.mean) > float64(median)*float64(lim.slowFactor)
+}
