mwkernel: never say of a call that may have run that it did not

A repeatable call whose first attempt was lost and whose retry was refused ended with the code of the refusal, which says that it did not run. The routing keeps in mind the attempt that says most.

A backend server that makes calls and then says that it did not run spent part of the budget; the whole budget came back up, and retries could exceed it. What the account has left comes back now. A hedge's loser costs only what went down with it, calls by a backend server get no more time than the call that it works on, and their depth is bounded within one node too.

--- a/mwlib/mwkernel/account.go
+++ b/mwlib/mwkernel/account.go
@@ -1,70 +1,59 @@
 package mwkernel
 
 import (
+	"time"
+
+	"mustardwheel.example/mwlib/mwbudget"
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwshard"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
 // accounts hold the retry budget of each call that a backend server works
 // on, by the attempt under which the call was handed over. The backend
 // server's own calls name that attempt as their parent and draw on its
-// account. Whatever the calls do at the same time, the sum of what is drawn
-// never exceeds what was opened: each step happens under the shard's lock.
-type accounts struct {
-	m *mwshard.Map[mwid.AttemptID, account]
-}
+// account.
+type accounts = mwbudget.Accounts[mwid.AttemptID, parent, mwbudget.Half]
 
-// account is the state of one call that a backend server works on.
-type account struct {
+// parent is what a backend server's calls inherit from the call that it
+// works on.
+type parent struct {
 	root       mwid.RootID
 	caller     mwid.CallerName
 	depth      mwunit.Depth
 	importance mwunit.Importance
-	balance    mwunit.Attempts
+	deadline   time.Time
 }
 
 func newAccounts() *accounts {
-	return &accounts{m: mwshard.New[mwid.AttemptID, account](mwshard.DefaultShards)}
+	return mwbudget.NewAccounts[mwid.AttemptID, parent](mwbudget.Half{})
 }
 
-// open opens the account of c.
-func (a *accounts) open(c *mwcall.Call) {
-	a.m.Set(c.Attempt, account{
+func parentOf(c *mwcall.Call) parent {
+	return parent{
 		root: c.Root, caller: c.Caller, depth: c.Depth,
-		importance: c.Class.Importance, balance: c.Budget,
-	})
-}
-
-// close ends the account of id and returns what is left on it.
-func (a *accounts) close(id mwid.AttemptID) mwunit.Attempts {
-	v, _ := a.m.Delete(id)
-	return v.balance
-}
-
-// draw takes half of what is left, rounded up, for one more call under id.
-// Half leaves something for calls beside it; ok is false where the account
-// is not open.
-func (a *accounts) draw(id mwid.AttemptID) (acc account, drawn mwunit.Attempts, ok bool) {
-	a.m.Update(id, func(v account, there bool) (account, bool) {
-		if !there {
-			return v, false
-		}
-		ok = true
-		drawn = (v.balance + 1) / 2
-		v.balance -= drawn
-		acc = v
-		return v, true
-	})
-	return acc, drawn, ok
+		importance: c.Class.Importance, deadline: c.Deadline,
+	}
 }
 
-// restore gives back what a call under id did not use. It tells whether the
-// account was still open; what comes back later is lost, never spent twice.
-func (a *accounts) restore(id mwid.AttemptID, n mwunit.Attempts) {
-	a.m.Update(id, func(v account, there bool) (account, bool) {
-		v.balance += n
-		return v, there
-	})
+// adopt makes a call by this VM's backend server part of the request that
+// the backend server works on. A call that names a parent that is not open
+// any more gets no budget.
+func (k *Kernel) adopt(c *mwcall.Call) {
+	if c.Origin != mwcall.Local || c.Parent == "" {
+		return
+	}
+	p, n, ok := k.accounts.Draw(c.Parent)
+	c.Budget, c.HasBudget = n, true
+	if !ok {
+		return
+	}
+	c.Root, c.Depth = p.root, p.depth+1
+	c.Importance, c.HasImportance = p.importance, true
+	if c.Caller == "" {
+		c.Caller = p.caller
+	}
+	if !p.deadline.IsZero() && (c.Deadline.IsZero() || p.deadline.Before(c.Deadline)) {
+		c.Deadline = p.deadline
+	}
 }
--- a/mwlib/mwkernel/hedge.go
+++ b/mwlib/mwkernel/hedge.go
@@ -5,115 +5,86 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwcall"
-	"mustardwheel.example/mwlib/mwcode"
 )
 
-// outcome is what one of two attempts came to.
-type outcome struct {
-	ans   Answer
-	h     mwcall.Head
-	err   error
-	hedge bool
-}
-
-func (o outcome) good() bool { return o.err == nil && !o.h.Failed }
-
-// hedged makes one attempt and, where no head is there after d, a second one
-// at another target, paid from the budget. The first good answer counts; the
-// other attempt is cancelled and its answer dropped.
-func (r *routing) hedged(ctx context.Context, d time.Duration) (Answer, mwcall.Head, error) {
-	r.balance-- // Held for the hedge until it is known whether it starts.
-	first, stopFirst := r.start(ctx, false)
+// hedged makes an attempt at t and, where no head is there after d, a second
+// one at another target, paid from the budget. The first good answer counts;
+// the other attempt is cancelled and its answer dropped.
+func (r *routing) hedged(ctx context.Context, t mwcall.Target, d time.Duration) outcome {
+	r.balance-- // Held for the second attempt until it is known whether it starts.
+	first := r.start(ctx, t)
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case o := <-first.done:
 		r.balance++
-		return r.settle(first, o, stopFirst)
+		return r.settle(first, o)
 	case <-timer.C:
 	}
-	t, err := r.k.router.Pick(r.c, r.k.member.Targets(r.c.Service), r.tried)
+	t, err := r.pick()
 	if err != nil {
 		r.balance++
-		return r.settle(first, <-first.done, stopFirst)
+		return r.settle(first, <-first.done)
 	}
-	r.tried.Add(t.Node)
 	r.k.stat.hedges.Inc()
-	second, stopSecond := r.startAt(ctx, t, true)
-	return r.race(first, second, stopFirst, stopSecond)
+	return r.race(first, r.start(ctx, t))
 }
 
-// lane is one running attempt; it works on a routing of its own, whose
-// balance is settled when the attempt is over.
+// lane is one of two attempts that run at the same time.
 type lane struct {
-	r    *routing
-	done chan outcome
-}
-
-// start picks a target and starts an attempt that holds the whole balance.
-func (r *routing) start(ctx context.Context, hedge bool) (*lane, context.CancelFunc) {
-	t, err := r.k.router.Pick(r.c, r.k.member.Targets(r.c.Service), r.tried)
-	if err != nil {
-		l := &lane{r: &routing{balance: r.balance}, done: make(chan outcome, 1)}
-		r.balance = 0
-		l.done <- outcome{h: mwcall.Head{Code: mwcode.Of(err)}, err: err, hedge: hedge}
-		return l, func() {}
-	}
-	r.tried.Add(t.Node)
-	return r.startAt(ctx, t, hedge)
+	done chan outcome // done takes one outcome without a wait.
+	stop context.CancelFunc
 }
 
-func (r *routing) startAt(ctx context.Context, t mwcall.Target, hedge bool) (*lane, context.CancelFunc) {
+// start starts an attempt at t. The call counts as in flight until the
+// attempt is over, also where its answer is not waited for.
+func (r *routing) start(ctx context.Context, t mwcall.Target) *lane {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &lane{
-		r:    &routing{k: r.k, c: r.c, ex: r.ex, balance: r.balance},
-		done: make(chan outcome, 1),
-	}
-	r.balance = 0
+	l := &lane{done: make(chan outcome, 1), stop: cancel}
+	give := r.share()
+	r.k.life.enter()
 	go func() {
-		ans, h, err := l.r.send(ctx, *l.r.c, t)
-		l.done <- outcome{ans: ans, h: h, err: err, hedge: hedge}
+		defer r.k.life.exit()
+		l.done <- r.send(ctx, t, give)
 	}()
-	return l, cancel
+	return l
 }
 
-// settle takes the result of the only attempt left.
-func (r *routing) settle(l *lane, o outcome, stop context.CancelFunc) (Answer, mwcall.Head, error) {
-	r.balance += l.r.balance
+// settle takes the outcome of the only attempt left.
+func (r *routing) settle(l *lane, o outcome) outcome {
+	r.balance += o.back
 	if o.err != nil {
-		stop()
-		return nil, o.h, o.err
+		l.stop()
+		return o
 	}
-	return &bound{Answer: o.ans, stop: stop}, o.h, nil
+	o.ans = &bound{Answer: o.ans, stop: l.stop}
+	return o
 }
 
-// race returns the first good result of two attempts, or else the last one.
-func (r *routing) race(a, b *lane, stopA, stopB context.CancelFunc) (Answer, mwcall.Head, error) {
+// race returns the first good outcome of two attempts, or else the last one.
+// What went down with the loser of a good one counts as used: nobody waits to
+// hear of it.
+func (r *routing) race(a, b *lane) outcome {
 	var o outcome
 	select {
 	case o = <-a.done:
 	case o = <-b.done:
 		a, b = b, a
-		stopA, stopB = stopB, stopA
 	}
 	if o.good() {
-		stopB()
-		go discard(b.done)
-		return r.settle(a, o, stopA)
-	}
-	r.balance += a.r.balance
-	if o.ans != nil {
-		o.ans.Drop()
-	}
-	stopA()
-	return r.settle(b, <-b.done, stopB)
-}
-
-// discard drops the late answer of an attempt that lost.
-func discard(ch <-chan outcome) {
-	if o := <-ch; o.ans != nil {
-		o.ans.Drop()
+		b.stop()
+		r.k.life.enter()
+		go func() {
+			defer r.k.life.exit()
+			if late := <-b.done; late.ans != nil {
+				late.ans.Drop()
+			}
+		}()
+		return r.settle(a, o)
 	}
+	r.giveUp(r.settle(a, o))
+	a.stop()
+	return r.settle(b, <-b.done)
 }
 
 // bound is an answer whose context ends with it.
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -11,74 +11,73 @@
 	"mustardwheel.example/mwlib/mwunit"
 )
 
-// routing is one call on its way to a target.
+// routing is one call on its way to a target. Only the goroutine that serves
+// the call changes it.
 type routing struct {
 	k       *Kernel
 	c       *mwcall.Call
 	ex      Exchange
 	balance mwunit.Attempts
 	tried   triedSet
+	prior   outcome // prior is the attempt that says most of those given up.
+}
+
+// HopRetries is a RetryPolicy that gives each hop retries of its own,
+// whatever budget comes with a call. Nothing bounds the retries of a whole
+// request then; it serves to compare.
+type HopRetries interface {
+	RetryPolicy
+	// Hop returns the retries of each hop.
+	Hop() mwunit.Attempts
 }
 
 // route sends c to a target's node, again where that is safe and the budget
 // allows, and answers it.
 func (k *Kernel) route(ctx context.Context, c *mwcall.Call, ex Exchange) {
-	if !k.adopt(c) {
-		c.Budget, c.HasBudget = 0, true
-	}
+	k.adopt(c)
 	s, ok := k.snapshot()
 	k.classify(c, s, ok)
-	if !ok && !c.Class.Repeatable {
-		ex.Refuse(mwcode.New(mwcode.NoConfiguration), mwcall.Head{Elsewhere: true})
+	r := &routing{k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID]()}
+	if err := r.begin(ok); err != nil {
+		r.answer(outcome{err: err, h: mwcall.Head{Elsewhere: true}})
 		return
 	}
-	if !c.HasBudget {
-		n, err := k.retry.Start(c)
-		if err != nil {
-			ex.Refuse(err, mwcall.Head{})
-			return
-		}
-		c.Budget = n
-	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
-	r := &routing{k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID]()}
 	r.run(ctx)
 }
 
-// adopt makes a call by this VM's backend server part of the request that
-// the backend server works on. It returns false where the call names a
-// parent that is not open any more.
-func (k *Kernel) adopt(c *mwcall.Call) bool {
-	if c.Origin != mwcall.Local || c.Parent == "" {
-		return true
+// begin checks that the call may start and gives a root call its budget;
+// configured tells whether the node has a configuration.
+func (r *routing) begin(configured bool) error {
+	if r.c.Depth > mwunit.MaxDepth {
+		return mwcode.New(mwcode.TooDeep)
 	}
-	acc, n, ok := k.accounts.draw(c.Parent)
-	if !ok {
-		return false
+	if !configured && !r.c.Class.Repeatable {
+		return mwcode.New(mwcode.NoConfiguration)
 	}
-	c.Root, c.Depth = acc.root, acc.depth+1
-	c.Importance, c.HasImportance = acc.importance, true
-	if c.Caller == "" {
-		c.Caller = acc.caller
+	if !r.c.HasBudget {
+		n, err := r.k.retry.Start(r.c)
+		if err != nil {
+			return err
+		}
+		r.c.Budget, r.balance = n, n
 	}
-	c.Budget, c.HasBudget = n, true
-	return true
+	if p, ok := r.k.retry.(HopRetries); ok {
+		r.balance = p.Hop()
+	}
+	return nil
 }
 
 // run tries until an answer is out.
 func (r *routing) run(ctx context.Context) {
 	for {
-		ans, h, err := r.try(ctx)
-		if err != nil && ctx.Err() == nil && r.again(h) {
-			continue
-		}
-		if err == nil && h.Failed && r.again(h) {
-			ans.Drop()
-			continue
+		o := r.try(ctx)
+		if o.good() || ctx.Err() != nil || !r.again(o.h) {
+			r.answer(o)
+			return
 		}
-		r.answer(ans, h, err)
-		return
+		r.giveUp(o)
 	}
 }
 
@@ -97,73 +96,128 @@
 	return true
 }
 
-// answer sends ans, or refuses with err, and gives the rest of the budget
-// back to the parent's account.
-func (r *routing) answer(ans Answer, h mwcall.Head, err error) {
-	h.Unused = r.balance
+// giveUp drops an attempt that is followed by another one, and keeps in mind
+// whether it may have run.
+func (r *routing) giveUp(o outcome) {
+	if o.ans != nil {
+		o.ans.Drop()
+		o.h.Code = mwcode.BackendUnavailable
+		o = outcome{h: o.h, err: mwcode.New(mwcode.BackendUnavailable)}
+	}
+	if r.prior.err == nil || r.prior.h.Code.NotRun() {
+		r.prior = o
+	}
+}
+
+// verdict returns what the caller is told where the last attempt ended in o.
+// A call of which any attempt may have run is never said not to have run; and
+// that no target is left says less than why the others were given up.
+func (r *routing) verdict(o outcome) outcome {
+	if o.err == nil || r.prior.err == nil {
+		return o
+	}
+	if o.unsent || o.h.Code.NotRun() && !r.prior.h.Code.NotRun() {
+		return r.prior
+	}
+	return o
+}
+
+// answer sends the answer of o, or refuses with its error, and gives the rest
+// of the budget back to the parent's account.
+func (r *routing) answer(o outcome) {
+	o = r.verdict(o)
+	o.h.Unused = r.balance
 	if r.c.Origin == mwcall.Local && r.c.Parent != "" {
-		r.k.accounts.restore(r.c.Parent, r.balance)
+		r.k.accounts.Restore(r.c.Parent, r.balance)
 	}
-	if err != nil {
-		r.k.stat.refused(mwcode.Of(err))
-		r.ex.Refuse(err, h)
+	if o.err != nil {
+		o.h.Code = mwcode.Of(o.err)
+		r.k.stat.refused(o.h.Code)
+		r.ex.Refuse(o.err, o.h)
 		return
 	}
-	if !h.Failed {
+	if !o.h.Failed {
 		r.k.retry.Succeeded(r.c)
 	}
-	if err := ans.Send(h); err != nil {
+	if err := o.ans.Send(o.h); err != nil {
 		r.k.stat.cut.Inc()
 	}
 }
 
+// outcome is what one attempt came to: an answer or an error.
+type outcome struct {
+	ans Answer
+	h   mwcall.Head
+	err error
+	// back is what came back of the budget that went down.
+	back mwunit.Attempts
+	// unsent tells that no target was found to send the call to.
+	unsent bool
+}
+
+func (o outcome) good() bool { return o.err == nil && !o.h.Failed }
+
 // try makes one attempt, with a hedge where the policy asks for one.
-func (r *routing) try(ctx context.Context) (Answer, mwcall.Head, error) {
-	d, ok := r.k.retry.HedgeAfter(r.c)
-	if !ok || r.balance < 1 || !r.ex.Resendable() || !r.c.Class.Repeatable {
-		return r.attempt(ctx, *r.c)
+func (r *routing) try(ctx context.Context) outcome {
+	t, err := r.pick()
+	if err != nil {
+		return outcome{h: mwcall.Head{Code: mwcode.Of(err)}, err: err, unsent: true}
 	}
-	return r.hedged(ctx, d)
+	if r.balance >= 1 && r.c.Class.Repeatable && r.ex.Resendable() {
+		if d, ok := r.k.retry.HedgeAfter(r.c); ok {
+			return r.hedged(ctx, t, d)
+		}
+	}
+	o := r.send(ctx, t, r.share())
+	r.balance += o.back
+	return o
 }
 
-// attempt sends one copy of the call to one target. On an error the head's
-// code is that of the error.
-func (r *routing) attempt(ctx context.Context, c mwcall.Call) (Answer, mwcall.Head, error) {
-	t, err := r.k.router.Pick(&c, r.k.member.Targets(c.Service), r.tried)
-	if err != nil {
-		return nil, mwcall.Head{Code: mwcode.Of(err)}, err
+// pick returns a target that was not tried yet.
+func (r *routing) pick() (mwcall.Target, error) {
+	t, err := r.k.router.Pick(r.c, r.k.member.Targets(r.c.Service), r.tried)
+	if err == nil {
+		r.tried.Add(t.Node)
 	}
-	r.tried.Add(t.Node)
-	return r.send(ctx, c, t)
+	return t, err
 }
 
-func (r *routing) send(ctx context.Context, c mwcall.Call, t mwcall.Target) (Answer, mwcall.Head, error) {
-	give := r.k.retry.Share(&c, r.balance)
+// share takes what goes down with the next attempt from the balance.
+func (r *routing) share() mwunit.Attempts {
+	give := min(max(r.k.retry.Share(r.c, r.balance), 0), r.balance)
 	r.balance -= give
+	return give
+}
+
+// send sends a copy of the call, with the budget give, to t. It changes
+// nothing in r, so that two may run at the same time.
+func (r *routing) send(ctx context.Context, t mwcall.Target, give mwunit.Attempts) outcome {
+	c := *r.c
 	c.Budget, c.HasBudget, c.Attempt = give, true, mwid.NewAttemptID()
 	done := r.k.router.Begin(&c, t)
 	start := time.Now()
 	ans, err := r.forward(ctx, &c, t)
-	s := mwcall.Sample{Took: time.Since(start), First: time.Since(start), Cancelled: ctx.Err() != nil}
+	took := time.Since(start)
 	h := headOf(ans, err, give)
-	s.Code, s.Failed = h.Code, h.Failed
+	s := mwcall.Sample{
+		Took: took, First: took, Code: h.Code, Failed: h.Failed, Cancelled: ctx.Err() != nil,
+	}
 	done(h, s)
 	r.k.retry.Observe(&c, s)
-	r.balance += min(h.Unused, give)
-	return ans, h, err
+	return outcome{ans: ans, h: h, err: err, back: min(max(h.Unused, 0), give)}
 }
 
-// headOf returns the head of an attempt. What a call used that never left,
-// or that was refused before it ran, comes back; of one with no known
-// outcome, nothing does.
+// headOf returns the head of an attempt. A refusal by another node says what
+// is unused. What went down with a call that never left comes back; of one
+// with no known outcome, nothing does.
 func headOf(ans Answer, err error, give mwunit.Attempts) mwcall.Head {
 	if err == nil {
 		return ans.Head()
 	}
-	h := mwcall.Head{Code: mwcode.Of(err), Elsewhere: true}
-	if r, ok := RefusalOf(err); ok {
-		h = r
+	if h, ok := RefusalOf(err); ok {
+		return h
 	}
+	h := mwcall.Head{Code: mwcode.Of(err), Elsewhere: true}
 	if h.Code.NotRun() {
 		h.Unused = give
 	}
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -91,11 +91,11 @@
 			return nil, refuse(mwcode.Of(err), mwcall.Head{Unused: p.c.Budget})
 		}
 	}
-	p.k.accounts.open(p.c)
+	p.k.accounts.Open(p.c.Attempt, parentOf(p.c), p.c.Budget)
 	p.start = time.Now()
 	ans, err := ex.Deliver(ctx, p.c, a)
 	p.first = time.Since(p.start)
-	unused := p.k.accounts.close(p.c.Attempt)
+	unused := p.k.accounts.Close(p.c.Attempt)
 	if err != nil {
 		return nil, p.failed(err, unused)
 	}
@@ -129,12 +129,13 @@
 	return &delivered{Answer: ans, p: p, unused: p.c.Budget}, nil
 }
 
-// failed turns the error of a hand-over into a Refusal.
+// failed turns the error of a hand-over into a Refusal. A backend server that
+// says that it did not run the call may still have made calls of its own, so
+// that unused can be less than the budget.
 func (p *passage) failed(err error, unused mwunit.Attempts) error {
 	code := mwcode.Of(err)
 	if code.NotRun() {
 		p.unrun()
-		unused = p.c.Budget
 	}
 	return refuse(code, mwcall.Head{Unused: unused, Elsewhere: true})
 }
