--- /dev/null
+++ b/mwlib/mwadmit/band.go
@@ -0,0 +1,50 @@
+package mwadmit
+
+import (
+	"math"
+
+	"mustardwheel.example/mwlib/mwlane"
+	"mustardwheel.example/mwlib/mwqueue"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// band is a group of calls with a floor and a ceiling of its own: those on
+// one retired interface, or all others. It has a queue for each lane, so that
+// what waits for the one does not hold up the other and can't push it out.
+type band struct {
+	floor    mwunit.Slots
+	ceiling  mwunit.Slots
+	inFlight mwunit.Slots
+	queues   [mwlane.Count]*queue
+}
+
+type queue = mwqueue.Queue[*ticket, mwqueue.ByPriority]
+
+// unbounded is the ceiling of calls that are not retired.
+const unbounded mwunit.Slots = math.MaxInt
+
+func newBand(floor, ceiling, capacity mwunit.Slots) *band {
+	b := &band{floor: floor, ceiling: ceiling}
+	for l := range b.queues {
+		b.queues[l] = mwqueue.New[*ticket](mwqueue.ByPriority{}, capacity)
+	}
+	return b
+}
+
+// open tells whether the ceiling allows one more call.
+func (b *band) open() bool { return b.inFlight < b.ceiling }
+
+// owed tells whether the floor promises one more call.
+func (b *band) owed() bool { return b.inFlight < b.floor }
+
+// waiting returns the number of calls in the queues.
+func (b *band) waiting() mwunit.Slots {
+	n := 0
+	for _, q := range b.queues {
+		n += q.Len()
+	}
+	return mwunit.Slots(n)
+}
+
+// idle tells whether nothing of the band is here.
+func (b *band) idle() bool { return b.inFlight == 0 && b.waiting() == 0 }
--- /dev/null
+++ b/mwlib/mwadmit/gate.go
@@ -0,0 +1,270 @@
+package mwadmit
+
+import (
+	"sync"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwlane"
+	"mustardwheel.example/mwlib/mwlimit"
+	"mustardwheel.example/mwlib/mwqueue"
+)
+
+// gate decides for one service which calls start, and when. It is the shard
+// of the admission's state: a gate has a lock of its own, and no call to one
+// service waits for the lock of another's gate.
+//
+// A service is not split further. What must hold at one backend server, that
+// no order is shed while browsing gets in, needs all of its calls in one
+// order, and a decision takes far less time than the work that it is about.
+//
+// After each step under the lock, no call waits that could start.
+type gate[P mwlimit.Policy] struct {
+	mu      sync.Mutex
+	cfg     *config
+	stat    *gateStats
+	limiter *mwlimit.Limiter[P]
+	slots   *mwlane.Slots
+	paces   [mwlane.Count]pace
+	plain   *band
+	retired map[mwconfig.DocumentName]*band
+	pressed time.Time // pressed is when calls last had to be shed.
+}
+
+// overloadHold is how long a gate counts as overloaded after it shed a call.
+const overloadHold = time.Second
+
+func newGate[P mwlimit.Policy](cfg *config, stat *gateStats, p P, a mwcall.Announcement) *gate[P] {
+	l := mwlimit.New(p, a.Slots, a.Connections)
+	return &gate[P]{
+		cfg: cfg, stat: stat, limiter: l,
+		slots:   mwlane.New(l.Limit(), cfg.mediumShare, cfg.longShare),
+		plain:   newBand(0, unbounded, cfg.queue),
+		retired: make(map[mwconfig.DocumentName]*band),
+	}
+}
+
+// bound takes a new announcement.
+func (g *gate[P]) bound(now time.Time, a mwcall.Announcement) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.limiter.Bound(a.Slots, a.Connections)
+	g.adjust(now)
+}
+
+// enter takes a call that came. The code is OK where the call may start or
+// has to wait for the ticket's verdict.
+func (g *gate[P]) enter(now time.Time, c *mwcall.Call) (*ticket, mwcode.Code) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	t := &ticket{band: g.bandOf(c), lane: mwlane.Of(c.Class.Length), came: now}
+	t.entry = mwqueue.Entry[*ticket]{
+		Value: t, Key: mwqueue.Key{Priority: c.Class.Priority},
+		Deadline: c.Deadline, Service: g.service(now, t.lane),
+	}
+	if code := g.fit(now, t); code != mwcode.OK {
+		g.forget(t.band)
+		return nil, code
+	}
+	if t.band.open() && g.slots.Free(t.lane) {
+		g.start(t)
+		return t, mwcode.OK
+	}
+	return g.enqueue(now, t)
+}
+
+// enqueue lets t wait, and sheds what is worst where the queue is full.
+func (g *gate[P]) enqueue(now time.Time, t *ticket) (*ticket, mwcode.Code) {
+	t.verdict = make(chan mwcode.Code, 1)
+	shed := t.band.queues[t.lane].Push(&t.entry)
+	if shed == nil {
+		return t, mwcode.OK
+	}
+	g.press(now)
+	code := g.shedCode(shed.Value)
+	if shed.Value == t {
+		return nil, code
+	}
+	shed.Value.refuse(code)
+	return t, mwcode.OK
+}
+
+// shedCode returns why t can't wait: what keeps it from starting.
+func (g *gate[P]) shedCode(t *ticket) mwcode.Code {
+	switch {
+	case !t.band.open():
+		return mwcode.RetiredCeiling
+	case t.lane == mwlane.Long && g.slots.Used() < g.slots.Limit():
+		return mwcode.LaneFull
+	}
+	return mwcode.Overloaded
+}
+
+// bandOf returns the band of c with the bounds of c's configuration.
+func (g *gate[P]) bandOf(c *mwcall.Call) *band {
+	v := &c.Class.Verdict
+	if v.Retired == "" {
+		return g.plain
+	}
+	b, ok := g.retired[v.Retired]
+	if !ok {
+		b = newBand(v.Floor, v.Ceiling, g.cfg.queue)
+		g.retired[v.Retired] = b
+	}
+	b.floor, b.ceiling = v.Floor, v.Ceiling
+	return b
+}
+
+// service returns how long a call of lane l will probably take. While no
+// such call is in flight there is no estimate: the next one makes it.
+func (g *gate[P]) service(now time.Time, l mwlane.Lane) time.Duration {
+	if g.slots.UsedBy(l) == 0 {
+		return 0
+	}
+	return g.paces[l].service(now)
+}
+
+// fit tells whether t can be done in time.
+func (g *gate[P]) fit(now time.Time, t *ticket) mwcode.Code {
+	var wait time.Duration
+	if !t.band.open() || !g.slots.Free(t.lane) {
+		wait = g.wait(t)
+	}
+	return fitCode(mwqueue.Check(now, t.entry.Deadline, wait, t.entry.Service))
+}
+
+// fitCode returns the code for work with Fit f.
+func fitCode(f mwqueue.Fit) mwcode.Code {
+	switch f {
+	case mwqueue.Passed:
+		return mwcode.DeadlinePassed
+	case mwqueue.TooShort:
+		return mwcode.DeadlineTooShort
+	}
+	return mwcode.OK
+}
+
+// wait returns how long t would probably wait: for those ahead of it in its
+// queue, at the rate at which its lane's slots become free.
+func (g *gate[P]) wait(t *ticket) time.Duration {
+	ahead := t.band.queues[t.lane].Ahead(t.entry.Priority) + 1
+	width := min(g.slots.Bound(t.lane), max(t.band.ceiling, 1))
+	return time.Duration(ahead) * g.paces[t.lane].mean / time.Duration(width)
+}
+
+// start lets t run.
+func (g *gate[P]) start(t *ticket) {
+	g.slots.Take(t.lane)
+	t.band.inFlight++
+	t.inFlight = g.slots.Used()
+	t.start()
+}
+
+// leave takes back a ticket whose caller does not wait any longer. It
+// returns the code that the call ends with; gone is that of a call which
+// waited still or could have started.
+func (g *gate[P]) leave(now time.Time, t *ticket, gone mwcode.Code) mwcode.Code {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch t.state {
+	case queued:
+		t.band.queues[t.lane].Remove(&t.entry)
+		t.state = ended
+		g.forget(t.band)
+	case running:
+		g.free(t)
+		g.pump(now)
+	case ended:
+		return <-t.verdict
+	}
+	return gone
+}
+
+// release ends a call that ran; it does nothing the second time.
+func (g *gate[P]) release(now time.Time, t *ticket, s mwcall.Sample) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if t.state != running {
+		return
+	}
+	g.free(t)
+	if s.Took > 0 && !s.Cancelled {
+		g.paces[t.lane].note(now, s.Took)
+	}
+	s.InFlight = t.inFlight
+	if t.lane == mwlane.Short {
+		g.limiter.Observe(now, s)
+	}
+	g.adjust(now)
+}
+
+// free gives the slot of t back.
+func (g *gate[P]) free(t *ticket) {
+	t.state = ended
+	g.slots.Give(t.lane)
+	t.band.inFlight--
+	g.forget(t.band)
+}
+
+// forget drops the band of a retired interface when nothing of it is left.
+func (g *gate[P]) forget(b *band) {
+	if b == g.plain || !b.idle() {
+		return
+	}
+	for n, r := range g.retired {
+		if r == b {
+			delete(g.retired, n)
+		}
+	}
+}
+
+// adjust follows the limiter and starts what may start.
+func (g *gate[P]) adjust(now time.Time) {
+	g.slots.SetLimit(g.limiter.Limit())
+	g.pump(now)
+}
+
+// press notes that a call had to be shed.
+func (g *gate[P]) press(now time.Time) {
+	g.pressed = now
+	g.setOverloaded(true)
+}
+
+func (g *gate[P]) setOverloaded(on bool) {
+	for b := range g.bands() {
+		for _, q := range b.queues {
+			q.SetOverloaded(on)
+		}
+	}
+}
+
+// overloaded tells whether calls were shed lately.
+func (g *gate[P]) overloaded(now time.Time) bool {
+	return !g.pressed.IsZero() && now.Sub(g.pressed) < overloadHold
+}
+
+// load returns the present state.
+func (g *gate[P]) load(now time.Time) mwkernel.Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := mwkernel.Load{Limit: g.slots.Limit(), InFlight: g.slots.Used()}
+	for b := range g.bands() {
+		l.Queued += b.waiting()
+	}
+	if g.overloaded(now) {
+		l.Threshold = g.threshold()
+	}
+	return l
+}
+
+// threshold returns the least priority that gets in now.
+func (g *gate[P]) threshold() mwcall.Priority {
+	q := g.plain.queues[mwlane.Short]
+	if q.Len() < int(g.cfg.queue) {
+		return 0
+	}
+	return q.Worst().Priority
+}
--- /dev/null
+++ b/mwlib/mwadmit/stat.go
@@ -0,0 +1,64 @@
+package mwadmit
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwlane"
+)
+
+// stats makes the metrics of an admission.
+type stats struct {
+	set *metrics.Set
+}
+
+// gateStats are the metrics of one service.
+type gateStats struct {
+	set      *metrics.Set
+	service  mwid.ServiceName
+	admitted *metrics.Counter
+	waits    [mwlane.Count]*metrics.Histogram
+}
+
+// gate returns the metrics of service s.
+func (st *stats) gate(s mwid.ServiceName) *gateStats {
+	g := &gateStats{
+		set: st.set, service: s,
+		admitted: st.set.GetOrCreateCounter(fmt.Sprintf("mw_admission_admitted_total{service=%q}", s)),
+	}
+	for l := range g.waits {
+		g.waits[l] = st.set.GetOrCreateHistogram(fmt.Sprintf(
+			"mw_admission_wait_seconds{service=%q,lane=%q}", s, mwlane.Lane(l)))
+	}
+	return g
+}
+
+// watch makes gauges of the state that load returns.
+func (st *stats) watch(s mwid.ServiceName, load func() mwkernel.Load) {
+	gauge := func(name string, f func(mwkernel.Load) float64) {
+		st.set.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", name, s), func() float64 { return f(load()) })
+	}
+	gauge("mw_admission_limit", func(l mwkernel.Load) float64 { return float64(l.Limit) })
+	gauge("mw_admission_in_flight", func(l mwkernel.Load) float64 { return float64(l.InFlight) })
+	gauge("mw_admission_queued", func(l mwkernel.Load) float64 { return float64(l.Queued) })
+	gauge("mw_admission_threshold_importance", func(l mwkernel.Load) float64 {
+		return float64(l.Threshold.Importance())
+	})
+}
+
+// refused counts a call that was refused and returns its error.
+func (g *gateStats) refused(c mwcode.Code) error {
+	g.set.GetOrCreateCounter(fmt.Sprintf(
+		`mw_admission_refused_total{service=%q,code="%d"}`, g.service, int(c))).Inc()
+	return mwcode.New(c)
+}
+
+// waited notes how long a call of lane l was queued.
+func (g *gateStats) waited(l mwlane.Lane, d time.Duration) {
+	g.waits[l].Update(d.Seconds())
+}
--- /dev/null
+++ b/mwlib/mwclaim/acquire.go
@@ -0,0 +1,97 @@
+package mwclaim
+
+import (
+	"context"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// maxRounds bounds how often one claim is tried against rows that change or
+// answers that are lost.
+const maxRounds = 8
+
+// seen is what a claimant knows of the row before it writes.
+type seen struct {
+	known bool // known tells that the row was read, or can be taken as absent.
+	there bool
+	rec   Record
+	rev   mwid.Revision
+}
+
+// acquire makes c the claimant of its key, or finds the kept answer.
+func (c *claim) acquire(ctx context.Context) error {
+	s := seen{known: c.first}
+	sure := c.first // sure tells that no earlier attempt can have run.
+	for range maxRounds {
+		if !s.known {
+			var err error
+			if s, err = c.look(ctx); err != nil {
+				return c.giveUp(sure)
+			}
+		}
+		done, err := c.judge(ctx, s)
+		if done || err != nil {
+			return err
+		}
+		rev, err := c.l.write(ctx, c.put(s.rev))
+		switch mwcode.Of(err) {
+		case mwcode.OK:
+			c.granted(rev)
+			return nil
+		case mwcode.Conflict:
+			sure = false
+		case mwcode.StoreUnknown:
+			c.sent = true
+			c.l.stat.readBack.Inc()
+		default:
+			return c.giveUp(sure)
+		}
+		s = seen{}
+	}
+	return c.giveUp(sure)
+}
+
+// look reads the row.
+func (c *claim) look(ctx context.Context) (seen, error) {
+	rec, rev, ok, err := c.l.read(ctx, c.key)
+	return seen{known: true, there: ok, rec: rec, rev: rev}, err
+}
+
+// judge decides by what was seen: done tells that c has what it needs, and
+// without an error c may write its claim over the row.
+func (c *claim) judge(ctx context.Context, s seen) (done bool, err error) {
+	switch {
+	case !s.there && c.l.o.runFirst && !c.first:
+		return false, mwcode.New(mwcode.Held) // A first attempt may have run with no row.
+	case !s.there:
+		return false, nil
+	case s.rec.Call != c.rec.Call:
+		return false, mwcode.New(mwcode.KeyReused)
+	case s.rec.Claimant == c.rec.Claimant && s.rec.State == Claimed:
+		c.granted(s.rev)
+		return true, nil
+	case s.rec.State == NotRun:
+		return false, nil
+	case s.rec.State == Done:
+		return true, c.fetch(ctx, s.rec)
+	}
+	return false, mwcode.New(mwcode.Held)
+}
+
+// giveUp ends a claim whose table can't be used. Where the claim may still
+// take effect, it is written down later that c did not run.
+func (c *claim) giveUp(sure bool) error {
+	if c.l.o.runFirst && sure {
+		c.unproved = true
+		return nil
+	}
+	c.spent = true
+	if c.sent {
+		c.l.settle.add(c, c.rec.as(NotRun))
+	}
+	if sure {
+		return mwcode.New(mwcode.ClaimsAway)
+	}
+	return mwcode.New(mwcode.ClaimUnknown)
+}
--- /dev/null
+++ b/mwlib/mwclaim/lane.go
@@ -0,0 +1,234 @@
+package mwclaim
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwset"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// Put is a write of one row on the condition that the row has a revision; 0
+// means that there is no row.
+type Put struct {
+	Key      mwstore.Key
+	Value    []byte
+	Revision mwid.Revision
+}
+
+// put is a Put that waits in a lane.
+type put struct {
+	Put
+	gone   <-chan struct{} // gone is closed when nobody waits any more.
+	result chan putResult  // result has room for one.
+}
+
+type putResult struct {
+	revision mwid.Revision
+	err      error
+}
+
+// lane writes many rows in one transaction. While a transaction is on its
+// way, rows for the next one gather, so that the number of transactions is
+// bounded by the store's own latency and the window, not by the number of
+// calls.
+//
+// A transaction whose check fails writes nothing, also not the rows beside
+// it. The lane then reads the rows, answers those that are in conflict, and
+// tries again with the others. No transaction has two writes of one row,
+// since the second one would overwrite the first unseen.
+type lane struct {
+	table   mwstore.Table
+	window  time.Duration
+	timeout time.Duration
+	batch   int
+	stat    *stats
+	in      chan *put
+	ended   chan struct{}
+	later   []*put // later are puts whose row is in the present batch.
+}
+
+// newLane returns a lane; the returned function ends it. What waits then is
+// answered with mwcode.StoreAway.
+func newLane(t mwstore.Table, o options, st *stats) (*lane, func()) {
+	l := &lane{
+		table: t, window: o.window, timeout: o.timeout, batch: max(1, o.batch),
+		stat: st, in: make(chan *put), ended: make(chan struct{}),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		defer close(l.ended)
+		for {
+			ps := l.collect(ctx)
+			if ctx.Err() != nil {
+				answerAll(append(ps, l.later...), mwcode.New(mwcode.StoreAway))
+				return
+			}
+			l.commit(ctx, ps)
+		}
+	}()
+	return l, func() { cancel(); <-l.ended }
+}
+
+// write writes p and returns the row's new revision. Errors: mwcode.Conflict
+// where the row has another revision; mwcode.StoreAway and mwcode.StoreSlow
+// where nothing was written; mwcode.StoreUnknown.
+func (l *lane) write(ctx context.Context, p Put) (mwid.Revision, error) {
+	w := &put{Put: p, gone: ctx.Done(), result: make(chan putResult, 1)}
+	select {
+	case l.in <- w:
+	case <-l.ended:
+		return 0, mwcode.New(mwcode.StoreAway)
+	case <-ctx.Done():
+		return 0, mwcode.New(mwcode.StoreAway, mwcode.Wrap(context.Cause(ctx)))
+	}
+	select {
+	case r := <-w.result:
+		return r.revision, r.err
+	case <-ctx.Done():
+		return 0, mwcode.New(mwcode.StoreUnknown, mwcode.Wrap(context.Cause(ctx)))
+	}
+}
+
+// collect gathers the next batch: it waits for one put, and then for more
+// until the window is over or the batch is full.
+func (l *lane) collect(ctx context.Context) []*put {
+	b := &gathering{keys: mwset.New[mwstore.Key]()}
+	waiting := l.later
+	l.later = nil
+	for _, p := range waiting {
+		l.take(b, p)
+	}
+	if len(b.puts) == 0 {
+		select {
+		case p := <-l.in:
+			l.take(b, p)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	t := time.NewTimer(l.window)
+	defer t.Stop()
+	for len(b.puts) < l.batch {
+		select {
+		case p := <-l.in:
+			l.take(b, p)
+		case <-t.C:
+			return b.puts
+		case <-ctx.Done():
+			return b.puts
+		}
+	}
+	return b.puts
+}
+
+// gathering is a batch that is being collected.
+type gathering struct {
+	puts []*put
+	keys mwset.Set[mwstore.Key]
+}
+
+// take adds p to b, or keeps it for later where b has its row. It leaves out
+// what nobody waits for.
+func (l *lane) take(b *gathering, p *put) {
+	select {
+	case <-p.gone:
+		return
+	default:
+	}
+	if b.keys.Has(p.Key) || len(b.puts) >= l.batch {
+		l.later = append(l.later, p)
+		return
+	}
+	b.keys.Add(p.Key)
+	b.puts = append(b.puts, p)
+}
+
+// commit writes ps and answers each.
+func (l *lane) commit(ctx context.Context, ps []*put) {
+	for len(ps) > 0 {
+		l.stat.transactions.Inc()
+		l.stat.rows.Add(len(ps))
+		r, err := l.send(ctx, ps)
+		if err == nil {
+			for _, p := range ps {
+				p.result <- putResult{revision: r.Revision}
+			}
+			return
+		}
+		if mwcode.Of(err) != mwcode.Conflict || len(ps) == 1 {
+			answerAll(ps, err)
+			return
+		}
+		rest := l.sift(ctx, ps)
+		if len(rest) == len(ps) {
+			l.commit(ctx, ps[:len(ps)/2])
+			rest = ps[len(ps)/2:]
+		}
+		ps = rest
+	}
+}
+
+// send runs one transaction of ps.
+func (l *lane) send(ctx context.Context, ps []*put) (mwstore.Receipt, error) {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	return l.table.Commit(ctx, txnOf(ps))
+}
+
+// siftReads bounds the reads that sift has on their way.
+const siftReads = 16
+
+// sift answers the puts of ps that are in conflict and returns the others.
+func (l *lane) sift(ctx context.Context, ps []*put) []*put {
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
+	defer cancel()
+	clash := make([]bool, len(ps))
+	var g errgroup.Group
+	g.SetLimit(siftReads)
+	for i, p := range ps {
+		g.Go(func() error {
+			rev, err := revisionOf(ctx, l.table, p.Key)
+			clash[i] = err == nil && rev != p.Revision
+			return nil // What can't be read is tried again.
+		})
+	}
+	_ = g.Wait() // No function returns an error.
+	var rest []*put
+	for i, p := range ps {
+		if clash[i] {
+			p.result <- putResult{err: mwcode.New(mwcode.Conflict)}
+			continue
+		}
+		rest = append(rest, p)
+	}
+	return rest
+}
+
+// revisionOf returns the revision of a row, 0 where there is none.
+func revisionOf(ctx context.Context, t mwstore.Table, k mwstore.Key) (mwid.Revision, error) {
+	row, err := t.Get(ctx, k)
+	if mwcode.Of(err) == mwcode.NotFound {
+		return 0, nil
+	}
+	return row.Revision, err
+}
+
+func txnOf(ps []*put) mwstore.Txn {
+	var t mwstore.Txn
+	for _, p := range ps {
+		t.Checks = append(t.Checks, mwstore.Check{Key: p.Key, Revision: p.Revision})
+		t.Writes = append(t.Writes, mwstore.Write{Key: p.Key, Value: p.Value})
+	}
+	return t
+}
+
+func answerAll(ps []*put, err error) {
+	for _, p := range ps {
+		p.result <- putResult{err: err}
+	}
+}
--- /dev/null
+++ b/mwlib/mwclaim/ledger.go
@@ -0,0 +1,213 @@
+// Package mwclaim makes work that must not repeat run at most once. A claim
+// says which attempt may run the call of a key. It is written to the
+// platform's table before the call is handed over, and nobody ever takes it
+// over.
+//
+// The package registers itself as the ledger "table" of the kernel. Others
+// use New and Ledger.Claim alone; only the table has to be shared.
+package mwclaim
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Ledger gives out claims that are kept in the platform's table.
+//
+// A claim is one row, inserted on the condition that there is none. The
+// table settles every race, so a Ledger trusts nothing else: no clock, no
+// lease, no other node. A write whose answer is lost is read back by the
+// claimant's id; since a claimant's write may also take effect late, a
+// claimant that gives up writes down that it did not run, which makes its
+// late write fail.
+//
+// Rows are written by lanes, each a goroutine that puts many rows into one
+// transaction. The row's key picks the lane.
+type Ledger struct {
+	o      options
+	store  mwstore.Store
+	stat   *stats
+	lanes  []*lane
+	write  writer
+	settle *settler
+}
+
+// writer writes one row as lane.write does.
+type writer func(context.Context, Put) (mwid.Revision, error)
+
+var _ mwkernel.Ledger = (*Ledger)(nil)
+
+// options are the settings of New.
+type options struct {
+	node     mwid.NodeID
+	log      *slog.Logger
+	metrics  *metrics.Set
+	runFirst bool
+	window   time.Duration
+	timeout  time.Duration
+	batch    int
+	lanes    int
+	inline   mwunit.Bytes
+}
+
+// Option changes how New makes a Ledger.
+type Option = mwoption.Option[options]
+
+// WithNode sets the node that records name as their claimant's.
+func WithNode(n mwid.NodeID) Option { return func(o *options) { o.node = n } }
+
+// WithLog sets where the Ledger logs.
+func WithLog(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithMetrics sets where the Ledger counts.
+func WithMetrics(s *metrics.Set) Option { return func(o *options) { o.metrics = s } }
+
+// WithRunFirst makes the Ledger run first attempts while the table is away.
+// All ledgers of one table must agree on it.
+func WithRunFirst(b bool) Option { return func(o *options) { o.runFirst = b } }
+
+// WithWindow sets how long a row waits for others to share its transaction.
+func WithWindow(d time.Duration) Option { return func(o *options) { o.window = d } }
+
+// WithTimeout bounds one transaction.
+func WithTimeout(d time.Duration) Option { return func(o *options) { o.timeout = d } }
+
+// WithBatch bounds the rows of one transaction.
+func WithBatch(n int) Option { return func(o *options) { o.batch = n } }
+
+// WithLanes sets how many transactions may be on their way at a time.
+func WithLanes(n int) Option { return func(o *options) { o.lanes = n } }
+
+// WithInline sets the largest answer that is kept in the table.
+func WithInline(n mwunit.Bytes) Option { return func(o *options) { o.inline = n } }
+
+// Settings that hold where no option changes them.
+const (
+	defaultWindow               = 5 * time.Millisecond
+	defaultTimeout              = 2 * time.Second
+	defaultBatch                = 64
+	defaultLanes                = 2
+	defaultInline  mwunit.Bytes = 4 << 10
+)
+
+// New returns a Ledger over s; nil stands for a table that is always away.
+// The returned function ends the Ledger when no claim is in use any more.
+func New(s mwstore.Store, opts ...Option) (*Ledger, func()) {
+	o := options{
+		log: slog.Default(), metrics: metrics.NewSet(), window: defaultWindow,
+		timeout: defaultTimeout, batch: defaultBatch, lanes: defaultLanes, inline: defaultInline,
+	}
+	mwoption.Apply(&o, opts...)
+	l := &Ledger{o: o, store: s, stat: newStats(o.metrics)}
+	if s == nil {
+		l.store = noStore{}
+	}
+	var ends []func()
+	for range max(1, o.lanes) {
+		n, end := newLane(l.store, o, l.stat)
+		l.lanes = append(l.lanes, n)
+		ends = append(ends, end)
+	}
+	l.write = l.writeHere
+	var end func()
+	l.settle, end = newSettler(l)
+	return l, func() {
+		end()
+		for _, f := range ends {
+			f()
+		}
+	}
+}
+
+// writeHere writes p by the lane of its row.
+func (l *Ledger) writeHere(ctx context.Context, p Put) (mwid.Revision, error) {
+	n := xxhash.Sum64String(string(p.Key)) % uint64(len(l.lanes))
+	return l.lanes[n].write(ctx, p)
+}
+
+// read returns the record of a row, and ok false where there is no row.
+func (l *Ledger) read(ctx context.Context, k mwstore.Key) (r Record, rev mwid.Revision, ok bool, err error) {
+	row, err := l.store.Get(ctx, k)
+	if mwcode.Of(err) == mwcode.NotFound {
+		return r, 0, false, nil
+	}
+	if err != nil {
+		return r, 0, false, err
+	}
+	r, err = DecodeRecord(row.Value)
+	return r, row.Revision, err == nil, err
+}
+
+// Claim claims c.Key for c.Attempt, as mwkernel.Ledger says. A refusal says
+// mwcode.ClaimsAway only to a call that is declared as the first with its
+// key; an earlier attempt of any other call may have run, and then the code
+// is mwcode.ClaimUnknown.
+func (l *Ledger) Claim(ctx context.Context, c *mwcall.Call) (mwkernel.Claim, error) {
+	cl := newClaim(l, c)
+	err := cl.acquire(ctx)
+	l.count(cl, err)
+	if err != nil {
+		return nil, err
+	}
+	return cl, nil
+}
+
+func (l *Ledger) count(cl *claim, err error) {
+	switch mwcode.Of(err) {
+	case mwcode.OK:
+		l.countGranted(cl)
+	case mwcode.ClaimsAway:
+		l.stat.away.Inc()
+	case mwcode.Held:
+		l.stat.held.Inc()
+	case mwcode.KeyReused:
+		l.stat.reused.Inc()
+	default:
+		l.stat.unknown.Inc()
+	}
+}
+
+func (l *Ledger) countGranted(cl *claim) {
+	switch {
+	case cl.hasKept:
+		l.stat.replayed.Inc()
+	case cl.unproved:
+		l.stat.unproved.Inc()
+	default:
+		l.stat.granted.Inc()
+	}
+}
+
+// noStore is a store that is always away.
+type noStore struct{}
+
+var errNoStore = mwcode.New(mwcode.StoreAway, mwcode.Wrap(errors.New("no store is set")))
+
+func (noStore) Get(context.Context, mwstore.Key) (mwstore.Row, error) {
+	return mwstore.Row{}, errNoStore
+}
+
+func (noStore) Scan(context.Context, mwstore.Key, mwstore.Key, int) ([]mwstore.Row, error) {
+	return nil, errNoStore
+}
+
+func (noStore) Commit(context.Context, mwstore.Txn) (mwstore.Receipt, error) {
+	return mwstore.Receipt{}, errNoStore
+}
+
+func (noStore) PutObject(context.Context, mwstore.Key, []byte) error { return errNoStore }
+
+func (noStore) GetObject(context.Context, mwstore.Key) ([]byte, error) { return nil, errNoStore }
--- /dev/null
+++ b/mwlib/mwclaim/ledger_test.go
@@ -0,0 +1,231 @@
+package mwclaim_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// order returns a call with key k.
+func order(k mwid.CallKey, first bool) *mwcall.Call {
+	return &mwcall.Call{
+		Attempt: mwid.NewAttemptID(), Caller: "shop", Service: "auftrag",
+		Method: "POST", Path: "/orders", Key: k, First: first, Resubmitted: !first,
+	}
+}
+
+// world is two ledgers over one store, in virtual time.
+type world struct {
+	*qt.C
+	store *mwfakestore.Store
+	a, b  *mwclaim.Ledger
+}
+
+// inWorld runs f in a world.
+func inWorld(t *testing.T, f func(w world), opts ...mwclaim.Option) {
+	synctest.Test(t, func(t *testing.T) {
+		s, end := mwfakestore.New()
+		defer end()
+		a, endA := mwclaim.New(s, opts...)
+		defer endA()
+		b, endB := mwclaim.New(s, opts...)
+		defer endB()
+		f(world{qt.New(t), s, a, b})
+	})
+}
+
+// ctx returns a context with the time that a caller has.
+func ctx(w world) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	w.Cleanup(cancel)
+	return ctx
+}
+
+func (w world) code(l *mwclaim.Ledger, c *mwcall.Call) mwcode.Code {
+	_, err := l.Claim(ctx(w), c)
+	return mwcode.Of(err)
+}
+
+func TestOneClaimant(t *testing.T) {
+	inWorld(t, func(w world) {
+		cl, err := w.a.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(cl.Begin(), qt.IsNil)
+		w.Assert(mwcode.Of(cl.Begin()), qt.Equals, mwcode.Held)
+		w.Assert(w.code(w.b, order("k", false)), qt.Equals, mwcode.Held)
+		w.Assert(w.code(w.a, order("k", true)), qt.Equals, mwcode.Held)
+		w.Assert(cl.Finish(ctx(w), mwcall.Kept("answer")), qt.IsNil)
+		again, err := w.b.Claim(ctx(w), order("k", false))
+		w.Assert(err, qt.IsNil)
+		kept, ok := again.Kept()
+		w.Assert(ok, qt.IsTrue)
+		w.Assert(string(kept), qt.Equals, "answer")
+		w.Assert(mwcode.Of(again.Begin()), qt.Equals, mwcode.Held)
+	})
+}
+
+func TestNotRunFreesTheKey(t *testing.T) {
+	inWorld(t, func(w world) {
+		cl, err := w.a.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(cl.NotRun(ctx(w)), qt.IsNil)
+		w.Assert(mwcode.Of(cl.Begin()), qt.Equals, mwcode.Held)
+		again, err := w.b.Claim(ctx(w), order("k", false))
+		w.Assert(err, qt.IsNil)
+		w.Assert(again.Begin(), qt.IsNil)
+	})
+}
+
+func TestKeysOfCallers(t *testing.T) {
+	inWorld(t, func(w world) {
+		w.Assert(w.code(w.a, order("k", true)), qt.Equals, mwcode.OK)
+		other := order("k", true)
+		other.Path = "/proofs"
+		w.Assert(w.code(w.b, other), qt.Equals, mwcode.KeyReused)
+		stranger := order("k", true)
+		stranger.Caller = "shop/k"
+		w.Assert(w.code(w.b, stranger), qt.Equals, mwcode.OK)
+	})
+}
+
+func TestLargeAnswer(t *testing.T) {
+	inWorld(t, func(w world) {
+		cl, err := w.a.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(cl.Begin(), qt.IsNil)
+		large := make(mwcall.Kept, 1<<20)
+		w.Assert(cl.Finish(ctx(w), large), qt.IsNil)
+		row, err := w.store.Get(ctx(w), mwclaim.RowKey("shop", "k"))
+		w.Assert(err, qt.IsNil)
+		w.Assert(len(row.Value) < 1024, qt.IsTrue)
+		again, err := w.b.Claim(ctx(w), order("k", false))
+		w.Assert(err, qt.IsNil)
+		kept, _ := again.Kept()
+		w.Assert(kept, qt.HasLen, len(large))
+		rec, err := mwclaim.DecodeRecord(row.Value)
+		w.Assert(err, qt.IsNil)
+		w.Assert(w.store.PutObject(ctx(w), rec.Object, []byte("other")), qt.IsNil)
+		w.Assert(w.code(w.b, order("k", false)), qt.Equals, mwcode.Held)
+	})
+}
+
+func TestTableAway(t *testing.T) {
+	tests := []struct {
+		name     string
+		runFirst bool
+		first    bool
+		want     mwcode.Code
+	}{
+		{"first attempt is refused", false, true, mwcode.ClaimsAway},
+		{"later attempt is not known", false, false, mwcode.ClaimUnknown},
+		{"first attempt runs by the setting", true, true, mwcode.OK},
+		{"later attempt is not known by the setting", true, false, mwcode.ClaimUnknown},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, func(w world) {
+				w.store.SetFaults(mwfakestore.Faults{Away: true})
+				w.Assert(w.code(w.a, order("k", test.first)), qt.Equals, test.want)
+			}, mwclaim.WithRunFirst(test.runFirst))
+		})
+	}
+}
+
+func TestNoStore(t *testing.T) {
+	c := qt.New(t)
+	l, end := mwclaim.New(nil)
+	defer end()
+	_, err := l.Claim(context.Background(), order("k", true))
+	c.Assert(mwcode.Of(err), qt.Equals, mwcode.ClaimsAway)
+}
+
+// A transaction with one key that is taken must neither fail nor refuse the
+// keys beside it.
+func TestConflictInABatch(t *testing.T) {
+	inWorld(t, func(w world) {
+		w.Assert(w.code(w.a, order("taken", true)), qt.Equals, mwcode.OK)
+		codes := make(chan mwcode.Code, 20)
+		for i := range 20 {
+			k := mwid.CallKey(rune('a' + i))
+			if i == 7 {
+				k = "taken"
+			}
+			go func() { codes <- w.code(w.b, order(k, true)) }()
+		}
+		held := 0
+		for range 20 {
+			if code := <-codes; code != mwcode.OK {
+				w.Check(code, qt.Equals, mwcode.Held)
+				held++
+			}
+		}
+		w.Assert(held, qt.Equals, 1)
+		w.Assert(w.store.Usage().Transactions, qt.Equals, 3)
+	}, mwclaim.WithLanes(1))
+}
+
+// Two attempts of one key at one node share a lane, and must not share a
+// transaction, where the second would overwrite the first.
+func TestOneKeyTwiceInALane(t *testing.T) {
+	inWorld(t, func(w world) {
+		codes := make(chan mwcode.Code, 8)
+		for range 8 {
+			go func() { codes <- w.code(w.a, order("k", true)) }()
+		}
+		granted := 0
+		for range 8 {
+			if <-codes == mwcode.OK {
+				granted++
+			}
+		}
+		w.Assert(granted, qt.Equals, 1)
+	})
+}
+
+func TestLostAnswers(t *testing.T) {
+	tests := []struct {
+		name string
+		kind mwfakestore.Kind
+		last func(w world, cl claimant) error
+		want mwcode.Code
+	}{
+		{"of not run", mwfakestore.Commit, func(w world, cl claimant) error { return cl.NotRun(ctx(w)) }, mwcode.OK},
+		{"of a kept answer", mwfakestore.Commit, func(w world, cl claimant) error {
+			return cl.Finish(ctx(w), mwcall.Kept("small"))
+		}, mwcode.OK},
+		{"of an object", mwfakestore.Put, func(w world, cl claimant) error {
+			_ = cl.Finish(ctx(w), make(mwcall.Kept, 1<<20)) // It is written later.
+			return nil
+		}, mwcode.OK},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inWorld(t, func(w world) {
+				w.store.Lose(mwfakestore.Commit, 1)
+				cl, err := w.a.Claim(ctx(w), order("k", true))
+				w.Assert(err, qt.IsNil)
+				w.Assert(cl.Begin(), qt.IsNil)
+				w.store.Lose(test.kind, 1)
+				w.Assert(test.last(w, cl), qt.IsNil)
+				time.Sleep(time.Minute)
+				w.Assert(w.code(w.b, order("k", false)), qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+// claimant is what a test needs of a claim.
+type claimant interface {
+	Begin() error
+	NotRun(ctx context.Context) error
+	Finish(ctx context.Context, k mwcall.Kept) error
+}
--- /dev/null
+++ b/mwlib/mwclaim/record.go
@@ -0,0 +1,100 @@
+package mwclaim
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// Prefixes of the keys that claims use in the table and the object store.
+const (
+	rowPrefix    mwstore.Key = "Claim/"
+	answerPrefix mwstore.Key = "ClaimAnswer/"
+)
+
+// State tells what is known of a claimed call.
+type State string
+
+// States of a claim.
+const (
+	// Claimed tells that the claimant may run the call, or may have run it.
+	Claimed State = "Claimed"
+	// NotRun tells that the claimant did not run the call and never will.
+	NotRun State = "NotRun"
+	// Done tells that the claimant ran the call and has its answer.
+	Done State = "Done"
+)
+
+// ClaimantID identifies one claimant: one call of Ledger.Claim. It is not
+// the attempt's id, because a message with one attempt may arrive twice.
+type ClaimantID string
+
+// Digest is the hexadecimal SHA-256 of some bytes.
+type Digest string
+
+// Record is the row of one key.
+type Record struct {
+	Claimant ClaimantID
+	Attempt  mwid.AttemptID
+	Node     mwid.NodeID
+	State    State
+	// Call is the digest of the service, method and path that the key
+	// belongs to.
+	Call Digest
+	// At is when the claimant wrote the row, on its own clock; only people
+	// and retention read it.
+	At time.Time
+	// Answer is the kept answer of a State Done, where it is small.
+	Answer mwcall.Kept `json:",omitempty"`
+	// Object is where a larger answer is, and Digest what it must be.
+	Object mwstore.Key `json:",omitempty"`
+	Digest Digest      `json:",omitempty"`
+}
+
+// RowKey returns the key of the row for key k of caller n. Each part is
+// escaped, so that no two callers share a row.
+func RowKey(n mwid.CallerName, k mwid.CallKey) mwstore.Key {
+	return rowPrefix + mwstore.Key(url.QueryEscape(string(n))+"/"+url.QueryEscape(string(k)))
+}
+
+// callDigest returns the digest of what the key of c belongs to.
+func callDigest(c *mwcall.Call) Digest {
+	s := fmt.Sprintf("%q %q %q", c.Service, c.Method, c.Path)
+	return digestOf([]byte(s))
+}
+
+func digestOf(b []byte) Digest {
+	sum := sha256.Sum256(b)
+	return Digest(hex.EncodeToString(sum[:]))
+}
+
+// encode returns r as the value of a row.
+func (r Record) encode() []byte {
+	b, err := json.Marshal(r)
+	if err != nil {
+		panic(err) // Every field of a Record can be encoded.
+	}
+	return b
+}
+
+// DecodeRecord returns the Record that is the value of a row. Its error has
+// the code mwcode.BadDocument.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, mwcode.New(mwcode.BadDocument, mwcode.Wrap(err))
+	}
+	switch r.State {
+	case Claimed, NotRun, Done:
+		return r, nil
+	}
+	return Record{}, mwcode.New(mwcode.BadDocument, mwcode.Field("State"))
+}
--- /dev/null
+++ b/mwlib/mwclass/plugin.go
@@ -0,0 +1,59 @@
+// Package mwclass has the classifiers: they say what a call is from the
+// configuration and from what was seen of calls like it.
+package mwclass
+
+import (
+	"strings"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+)
+
+// Names of the plug-ins.
+const (
+	// HistoryName picks the classifier that corrects lengths from history.
+	HistoryName mwregistry.Name = "history"
+	// LabelsName picks the classifier that goes by labels alone.
+	LabelsName mwregistry.Name = "labels"
+)
+
+func init() {
+	mwkernel.Classifiers.Register(HistoryName, func(env mwkernel.Env) (mwkernel.Classifier, mwregistry.Cleanup, error) {
+		h := NewHistory(WithBounds(env.Settings.Admit.MediumAfter, env.Settings.Admit.LongAfter))
+		env.Metrics.NewGauge("mw_class_corrected", func() float64 { return float64(h.Corrected()) })
+		return h, func() {}, nil
+	})
+	mwkernel.Classifiers.Register(LabelsName, func(mwkernel.Env) (mwkernel.Classifier, mwregistry.Cleanup, error) {
+		return Labels{}, func() {}, nil
+	})
+}
+
+// Labels classifies by the configuration alone.
+type Labels struct{}
+
+// Classify fills c.Class from s. A call below a root counts as important as
+// its root, so that a request is kept or shed as a whole.
+func (Labels) Classify(c *mwcall.Call, s *mwconfig.Snapshot, v mwconfig.Server) {
+	c.Class.Verdict = s.Judge(c.Request(), v)
+	if c.HasImportance {
+		c.Class.Importance = c.Importance
+	}
+	c.Class.Route = RouteOf(c.Method, c.Path)
+	c.Class.Priority = mwcall.NewPriority(c.Class.Importance, c.Depth > 0, c.Root)
+}
+
+// Observe does nothing.
+func (Labels) Observe(*mwcall.Call, mwcall.Sample) {}
+
+// RouteOf returns the route of a call: its method and the first segment of
+// its path. What follows is mostly an id.
+func RouteOf(method, path string) mwid.Route {
+	path = strings.TrimPrefix(path, "/")
+	if i := strings.IndexByte(path, '/'); i >= 0 {
+		path = path[:i]
+	}
+	return mwid.Route(method + " /" + path)
+}
--- /dev/null
+++ b/mwlib/mwlane/lane.go
@@ -0,0 +1,112 @@
+// Package mwlane keeps lanes for short, medium and long work, so that short
+// work does not wait behind long work.
+package mwlane
+
+import (
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Lane is a length class as an index.
+type Lane int
+
+// Lanes from the shortest to the longest work.
+const (
+	Short Lane = iota
+	Medium
+	Long
+	// Count is the number of lanes.
+	Count
+)
+
+// Of returns the Lane of a length class.
+func Of(l mwconfig.Length) Lane {
+	switch l {
+	case mwconfig.Long:
+		return Long
+	case mwconfig.Medium:
+		return Medium
+	}
+	return Short
+}
+
+// String returns the name of l.
+func (l Lane) String() string {
+	switch l {
+	case Long:
+		return string(mwconfig.Long)
+	case Medium:
+		return string(mwconfig.Medium)
+	}
+	return string(mwconfig.Short)
+}
+
+// Slots counts the slots in use by lane under nested bounds: long work has
+// one, medium and long work together have a wider one, and all work has the
+// limit. What a longer lane leaves unused is lent to shorter work, which
+// gives it back soon; slots are never lent to longer work, which would keep
+// them.
+//
+// Slots is not safe for concurrent use; its owner has a lock.
+type Slots struct {
+	limit  mwunit.Slots
+	bounds [Count]mwunit.Slots
+	shares [Count]mwunit.Ratio
+	used   [Count]mwunit.Slots
+}
+
+// New returns Slots whose long work has at most the part long of the limit,
+// and medium and long work together the part medium.
+func New(limit mwunit.Slots, medium, long mwunit.Ratio) *Slots {
+	s := &Slots{shares: [Count]mwunit.Ratio{Short: 1, Medium: max(medium, long), Long: long}}
+	s.SetLimit(limit)
+	return s
+}
+
+// SetLimit sets the limit of all lanes together.
+func (s *Slots) SetLimit(n mwunit.Slots) {
+	if n == s.limit {
+		return
+	}
+	s.limit = n
+	for l, r := range s.shares {
+		s.bounds[l] = max(1, mwunit.Slots(float64(r)*float64(n)))
+	}
+}
+
+// Limit returns the limit of all lanes together.
+func (s *Slots) Limit() mwunit.Slots { return s.limit }
+
+// Bound returns how many slots work of lane l and longer may use.
+func (s *Slots) Bound(l Lane) mwunit.Slots { return s.bounds[l] }
+
+// Used returns the slots in use by all lanes.
+func (s *Slots) Used() mwunit.Slots { return s.from(Short) }
+
+// UsedBy returns the slots in use by lane l.
+func (s *Slots) UsedBy(l Lane) mwunit.Slots { return s.used[l] }
+
+// from returns the slots in use by lane l and longer ones.
+func (s *Slots) from(l Lane) mwunit.Slots {
+	var n mwunit.Slots
+	for ; l < Count; l++ {
+		n += s.used[l]
+	}
+	return n
+}
+
+// Free tells whether one more call of lane l may start.
+func (s *Slots) Free(l Lane) bool {
+	for ; l >= Short; l-- {
+		if s.from(l) >= s.bounds[l] {
+			return false
+		}
+	}
+	return true
+}
+
+// Take counts a call of lane l that starts.
+func (s *Slots) Take(l Lane) { s.used[l]++ }
+
+// Give counts a call of lane l that ended.
+func (s *Slots) Give(l Lane) { s.used[l]-- }
--- /dev/null
+++ b/mwlib/mwlimit/aimd.go
@@ -0,0 +1,41 @@
+package mwlimit
+
+import "time"
+
+// AIMD raises the limit by a constant step while calls do not queue in the
+// backend server, and lowers it by a factor where they do. The queue time is
+// what the mean latency has above its Floor.
+type AIMD struct {
+	floor Floor
+}
+
+// NewAIMD returns an AIMD.
+func NewAIMD() *AIMD { return &AIMD{} }
+
+// Parameters of AIMD.
+const (
+	// aimdStep is the increase for each window, in slots.
+	aimdStep = 1
+	// aimdFactor lowers the limit.
+	aimdFactor = 0.9
+	// aimdTolerance is the queue time that is let pass, as a part of the
+	// Floor.
+	aimdTolerance = 0.5
+	// aimdSlack is the queue time that is always let pass.
+	aimdSlack = 2 * time.Millisecond
+)
+
+// Next implements Policy.
+func (a *AIMD) Next(limit float64, w Window) float64 {
+	if w.Shed > 0 {
+		return limit * aimdFactor
+	}
+	if w.Samples == 0 {
+		return limit
+	}
+	mean, low := a.floor.Note(w)
+	if mean-low > max(time.Duration(aimdTolerance*float64(low)), aimdSlack) {
+		return limit * aimdFactor
+	}
+	return limit + aimdStep
+}
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -68,7 +68,12 @@
 
 // Admit bounds the admission.
 type Admit struct {
-	Queue mwunit.Slots `long:"queue" env:"QUEUE" default:"256" description:"calls that may wait for each service and lane"`
+	Queue       mwunit.Slots    `long:"queue" env:"QUEUE" default:"256" description:"calls that may wait for each service and lane"`
+	Limiter     mwregistry.Name `long:"limiter" env:"LIMITER" default:"gradient" description:"how the limit of calls in flight follows what is seen: gradient (on latency) or aimd (on queue time)"`
+	MediumShare mwunit.Ratio    `long:"medium-share" env:"MEDIUM_SHARE" default:"0.7" description:"greatest part of the slots that medium and long work hold together, 0 to 1"`
+	LongShare   mwunit.Ratio    `long:"long-share" env:"LONG_SHARE" default:"0.4" description:"greatest part of the slots that long work holds, 0 to 1"`
+	MediumAfter time.Duration   `long:"medium-after" env:"MEDIUM_AFTER" default:"200ms" description:"time from which on work counts as medium"`
+	LongAfter   time.Duration   `long:"long-after" env:"LONG_AFTER" default:"1s" description:"time from which on work counts as long"`
 }
 
 // Route bounds the routing.
@@ -91,6 +96,11 @@
 type Claim struct {
 	KeyRequired bool `long:"key-required" env:"KEY_REQUIRED" description:"refuse work that must not repeat and has no key; without, such work runs once at the most by never being retried"`
 	RunFirst    bool `long:"run-first" env:"RUN_FIRST" description:"while the table is away, run calls that the caller declares as its first attempt"`
+
+	Window time.Duration `long:"window" env:"WINDOW" default:"5ms" description:"longest time that a claim waits for others to share a transaction"`
+	Batch  int           `long:"batch" env:"BATCH" default:"64" description:"most claims in one transaction"`
+	Lanes  int           `long:"lanes" env:"LANES" default:"2" description:"transactions of claims that a node has on their way at a time"`
+	Inline mwunit.Bytes  `long:"inline" env:"INLINE" default:"4096" description:"largest answer that is kept in the table, bytes; larger ones go to the object store"`
 }
 
 // Relay bounds what one call may hold.
--- /dev/null
+++ b/mwplatform/main.go
@@ -0,0 +1,84 @@
+// Command mwplatform serves a stand-in of the platform's table and object
+// store over HTTP. It keeps all in memory.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwstorehttp"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// settings are the flags of the program.
+type settings struct {
+	Listen mwid.Address     `long:"listen" env:"MW_PLATFORM_LISTEN" default:"127.0.0.1:7100" description:"address to serve at, IP:port"`
+	Seed   uint64           `long:"seed" env:"MW_PLATFORM_SEED" default:"1" description:"seed of the random choices of faults"`
+	Reads  mwunit.PerSecond `long:"reads" env:"MW_PLATFORM_READS" default:"2000" description:"reads a second; 0 is no bound"`
+	Writes mwunit.PerSecond `long:"writes" env:"MW_PLATFORM_WRITES" default:"300" description:"transactions and stored objects a second; 0 is no bound"`
+	Rows   mwunit.PerSecond `long:"rows" env:"MW_PLATFORM_ROWS" default:"0" description:"rows written a second; 0 is no bound"`
+	Delay  time.Duration    `long:"delay" env:"MW_PLATFORM_DELAY" default:"0s" description:"time that each answer takes, such as 5ms"`
+}
+
+// endTimeout is the longest wait for requests in flight at the end.
+const endTimeout = 2 * time.Second
+
+func main() {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
+	if err := run(set, log); err != nil {
+		log.Error("ended", "Error", err)
+		os.Exit(1)
+	}
+}
+
+// run serves until the process is told to end.
+func run(set settings, log *slog.Logger) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	store, end := mwfakestore.New(
+		mwfakestore.WithSeed(set.Seed),
+		mwfakestore.WithReads(set.Reads),
+		mwfakestore.WithWrites(set.Writes),
+		mwfakestore.WithRows(set.Rows),
+		mwfakestore.WithFaults(mwfakestore.Faults{Delay: set.Delay}),
+	)
+	defer end()
+	l, err := net.Listen("tcp", string(set.Listen))
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	srv := &http.Server{Handler: mwstorehttp.NewFakeHandler(store), ReadHeaderTimeout: endTimeout}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		<-ctx.Done()
+		end, cancel := context.WithTimeout(context.Background(), endTimeout)
+		defer cancel()
+		_ = srv.Shutdown(end) // Requests that take longer are cut.
+	}()
+	log.Info("serving", "Address", l.Addr().String())
+	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	<-ended
+	return nil
+}
