mwkernel: finish claimed work whose caller left

An order that has begun was cancelled with its caller, which left it half done and its key without an answer for good. Claimed work now ends with its deadline only, and its answer is recorded to the end.

--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -92,6 +92,7 @@
 		n, err := a.resp.Body.Read(buf[:])
 		if n > 0 {
 			if werr := a.write(rc, buf[:n], flush); werr != nil {
+				a.recordRest(buf[:])
 				return werr
 			}
 		}
@@ -105,19 +106,32 @@
 }
 
 func (a *answer) write(rc *http.ResponseController, p []byte, flush bool) error {
+	if a.keep {
+		a.recordPiece(p)
+	}
 	rc.SetWriteDeadline(time.Now().Add(a.e.f.idle))
 	if _, err := a.e.w.Write(p); err != nil {
 		return err
 	}
-	if a.keep {
-		a.recordPiece(p)
-	}
 	if flush {
 		return rc.Flush()
 	}
 	return nil
 }
 
+// recordRest reads the rest of an answer that is to be kept, though its
+// caller has left.
+func (a *answer) recordRest(buf []byte) {
+	for a.keep {
+		n, err := a.resp.Body.Read(buf)
+		a.recordPiece(buf[:n])
+		if err != nil {
+			a.whole = errors.Is(err, io.EOF)
+			return
+		}
+	}
+}
+
 func (a *answer) recordPiece(p []byte) {
 	if a.record.Len()+len(p) > keptLimit {
 		a.keep = false
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -75,6 +75,7 @@
 	wait    time.Duration
 	start   time.Time
 	first   time.Duration
+	stop    context.CancelFunc // stop ends the context of a claimed call.
 }
 
 // run claims c where it must not repeat, and hands it over.
@@ -90,6 +91,7 @@
 		if err := p.claim.Begin(); err != nil {
 			return nil, refuse(mwcode.Of(err), mwcall.Head{Unused: p.c.Budget})
 		}
+		ctx = p.detach(ctx)
 	}
 	p.k.accounts.Open(p.c.Attempt, parentOf(p.c), p.c.Budget)
 	p.start = time.Now()
@@ -102,6 +104,14 @@
 	return &delivered{Answer: ans, p: p, unused: unused}, nil
 }
 
+// detach returns a context for a claimed call that ends with the call's
+// deadline, but not when the caller leaves: work that must not repeat is
+// rather finished, and its answer kept for the next ask, than left half done.
+func (p *passage) detach(ctx context.Context) context.Context {
+	ctx, p.stop = context.WithDeadline(context.WithoutCancel(ctx), p.c.Deadline)
+	return ctx
+}
+
 // claimed claims c. It returns an answer where an earlier attempt's is kept.
 func (p *passage) claimed(ctx context.Context, ex Exchange) (Answer, error) {
 	if p.c.Class.Repeatable {
@@ -163,6 +173,9 @@
 		s.Took = time.Since(p.start)
 	}
 	p.release(s)
+	if p.stop != nil {
+		p.stop()
+	}
 	if s.Took > 0 && code == mwcode.OK {
 		p.k.class.Observe(p.c, s)
 	}
