mwmember: gossip the membership

Nodes ping a few neighbours of their zone's ring and pass news on; relays carry it between zones; digests find what was missed. A zone that can't be reached is marked as a whole, so that a partition evicts nobody.

--- /dev/null
+++ b/mwlib/mwmember/join.go
@@ -0,0 +1,211 @@
+package mwmember
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwset"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// EntryPrefix starts the keys of rows that hold an Entry: the zone and a
+// number follow.
+const EntryPrefix mwstore.Key = "Member/Entry/"
+
+// Entry is a row of the table that names a relay, as a way into the
+// membership.
+type Entry struct {
+	Node mwid.NodeID
+	Zone mwid.ZoneName
+}
+
+// EntryKey returns the key of entry i of zone z.
+func EntryKey(z mwid.ZoneName, i int) mwstore.Key {
+	return EntryPrefix + mwstore.Key(z) + "/" + mwstore.Key(strconv.Itoa(i))
+}
+
+// How nodes find each other.
+const (
+	firstJoinWait = 200 * time.Millisecond
+	maxJoinWait   = 5 * time.Second
+	entryPeriod   = 30 * time.Second
+	storeTimeout  = 2 * time.Second
+	maxEntries    = 1024
+	joinAtOnce    = 8  // joinAtOnce is how many candidates are asked at the same time.
+	maxChunks     = 64 // maxChunks bounds the exchanges of one join.
+)
+
+// joinAndEnter finds other nodes while none is known and, on a relay, keeps
+// the table's entry rows.
+func (g *Gossip) joinAndEnter(ctx context.Context) {
+	wait := firstJoinWait
+	for {
+		if g.view.Load().others(g.self) == 0 {
+			if g.joinAny(ctx, g.candidates(ctx)) {
+				wait = firstJoinWait
+				continue
+			}
+			if !sleep(ctx, wait+rand.N(wait)) {
+				return
+			}
+			wait = min(2*wait, maxJoinWait)
+			continue
+		}
+		g.keepEntries(ctx)
+		if !sleep(ctx, entryPeriod/2+rand.N(entryPeriod)) {
+			return
+		}
+	}
+}
+
+// candidates returns the addresses from the settings and from the table, in
+// random order. A node that is alone enters itself, so that others find it.
+func (g *Gossip) candidates(ctx context.Context) []mwid.Address {
+	out := slices.Clone(g.join)
+	for _, e := range g.keepEntries(ctx) {
+		out = append(out, addressOf(e.Node))
+	}
+	out = slices.DeleteFunc(out, func(a mwid.Address) bool { return a == g.addr })
+	return mwset.New(out...).Sorted()
+}
+
+// joinAny takes the whole table from the candidate that answers first.
+func (g *Gossip) joinAny(ctx context.Context, as []mwid.Address) bool {
+	as = shuffled(as)
+	as = as[:min(len(as), joinAtOnce)]
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var eg errgroup.Group
+	found := make(chan mwid.Address, len(as))
+	for _, a := range as {
+		eg.Go(func() error {
+			_, err := g.exchange(ctx, a)
+			if err == nil {
+				found <- a
+				return nil
+			}
+			return err
+		})
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := eg.Wait(); err != nil {
+			g.log.Debug("candidate silent", "Error", err)
+		}
+	}()
+	ok := false
+	select {
+	case a := <-found:
+		ok = true
+		g.takeAll(ctx, a)
+	case <-done:
+		ok = len(found) > 0
+	}
+	cancel()
+	<-done
+	g.rebuild()
+	if !ok || g.view.Load().others(g.self) == 0 {
+		return false
+	}
+	g.queueRecord(g.ownRecord())
+	return true
+}
+
+// ownRecord returns what this node says of itself.
+func (g *Gossip) ownRecord() Record {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.own
+}
+
+// takeAll exchanges until nothing differs, first with the node at a, then
+// with others, so that those who start at the same time share the work.
+func (g *Gossip) takeAll(ctx context.Context, a mwid.Address) {
+	for range maxChunks {
+		g.rebuild()
+		if equal, err := g.exchange(ctx, a); equal || ctx.Err() != nil {
+			return
+		} else if err != nil {
+			g.log.Debug("exchange failed", "Peer", a, "Error", err)
+		}
+		if more := g.Peers(1); len(more) > 0 {
+			a = more[0]
+		}
+	}
+}
+
+// keepEntries reads the entry rows, enters this node where it is a relay and
+// makes contact with nodes that were not known. It returns the rows.
+func (g *Gossip) keepEntries(ctx context.Context) []Entry {
+	i := g.rank()
+	alone := g.view.Load().others(g.self) == 0
+	if g.rows == nil || (i >= relaysPerZone && !alone) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	es, err := readEntries(ctx, g.rows)
+	if err != nil {
+		g.log.Warn("entry rows not read", "Code", int(mwcode.Of(err)), "Error", err)
+		return nil
+	}
+	if !slices.Contains(es, Entry{Node: g.self, Zone: g.zone}) {
+		if err := g.enter(ctx, i); err != nil {
+			g.log.Warn("entry row not written", "Code", int(mwcode.Of(err)), "Error", err)
+		}
+	}
+	if !alone {
+		g.contactUnknown(ctx, es)
+	}
+	return es
+}
+
+func readEntries(ctx context.Context, t mwstore.Table) ([]Entry, error) {
+	rows, err := t.Scan(ctx, EntryPrefix, "", maxEntries)
+	if err != nil {
+		return nil, err
+	}
+	var out []Entry
+	for _, r := range rows {
+		var e Entry
+		if json.Unmarshal(r.Value, &e) == nil && e.Node != "" {
+			out = append(out, e)
+		}
+	}
+	return out, nil
+}
+
+// enter writes entry row i of the own zone.
+func (g *Gossip) enter(ctx context.Context, i int) error {
+	b, err := json.Marshal(Entry{Node: g.self, Zone: g.zone})
+	if err != nil {
+		return err
+	}
+	_, err = g.rows.Commit(ctx, mwstore.Txn{
+		Writes: []mwstore.Write{{Key: EntryKey(g.zone, i), Value: b}},
+	})
+	return err
+}
+
+// contactUnknown exchanges with one node of es that is not known, so that
+// parts that never knew each other find together.
+func (g *Gossip) contactUnknown(ctx context.Context, es []Entry) {
+	for _, e := range shuffled(es) {
+		if _, ok := g.table.get(e.Node); ok || e.Node == g.self {
+			continue
+		}
+		if _, err := g.exchange(ctx, addressOf(e.Node)); err != nil {
+			g.log.Debug("entry silent", "Node", e.Node, "Error", err)
+		}
+		return
+	}
+}
--- /dev/null
+++ b/mwlib/mwmember/message.go
@@ -0,0 +1,168 @@
+package mwmember
+
+import (
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Message is a ping or its answer. Both carry news.
+type Message struct {
+	From mwid.NodeID
+	// Version is in force at From; Newest, where it is higher, at Holder.
+	Version mwid.Version
+	Newest  mwid.Version
+	Holder  mwid.Address
+	// Digest is over all that From knows of nodes.
+	Digest   uint64
+	Records  []Record
+	Opinions []Opinion
+	Reaches  []Reach
+	Zones    []Summary
+	InForce  InForce
+}
+
+// InForce tells which nodes of an availability zone have Version or a higher
+// one in force: those at the bits set, in the order of the ring whose hash is
+// Ring. All stands for every bit.
+type InForce struct {
+	Version mwid.Version
+	Ring    uint64
+	All     bool
+	Bits    []byte
+}
+
+// Reach is what a relay says of other availability zones. The one with the
+// greatest Seq counts.
+type Reach struct {
+	Relay       mwid.NodeID
+	Seq         uint64
+	Unreachable []mwid.ZoneName
+}
+
+// Summary is the state of an availability zone as one of its relays sees
+// it. The one with the greatest Stamp counts.
+type Summary struct {
+	Zone    mwid.ZoneName
+	Stamp   uint64
+	Nodes   mwunit.Nodes
+	Lowest  mwid.Version
+	Highest mwid.Version
+}
+
+// ViaRequest asks a node to ping another one.
+type ViaRequest struct {
+	From   mwid.NodeID
+	Target mwid.NodeID
+}
+
+// ViaReply tells which node answered at the target's address; it is empty
+// where none did.
+type ViaReply struct {
+	Found mwid.NodeID
+}
+
+// ExchangeRequest is one step of an exchange, which makes two tables equal.
+// The first step has Tops; the second one has Buckets; the third one has the
+// Records and Opinions that the other side lacks.
+type ExchangeRequest struct {
+	From     mwid.NodeID
+	Tops     []uint64
+	Buckets  []Bucket
+	Records  []Record
+	Opinions []Opinion
+}
+
+// Bucket holds the stamps of the nodes in one bucket.
+type Bucket struct {
+	Index  int
+	Stamps []Stamp
+}
+
+// Stamp is the upper half of the hash of a node, and that of its stamp as
+// the lower half.
+type Stamp uint64
+
+// stampOf returns the Stamp of m.
+func stampOf(m member) Stamp {
+	s := stamp(m.Node, m.Incarnation, m.health)
+	return Stamp(hash(m.Node)&^lowerHalf | s>>32)
+}
+
+const lowerHalf = 1<<32 - 1
+
+// node returns the part of s that stands for the node.
+func (s Stamp) node() uint32 { return uint32(s >> 32) }
+
+// ExchangeReply answers one step of an exchange.
+type ExchangeReply struct {
+	// Tops are the top buckets that differ, each with its digests.
+	Tops []Top
+	// Records and Opinions are what the asking side lacks.
+	Records  []Record
+	Opinions []Opinion
+	// Wants are the nodes of which the answering side may lack something.
+	Wants []uint32
+}
+
+// Top holds the digests of the buckets in one top bucket.
+type Top struct {
+	Index   int
+	Digests []uint64
+}
+
+// bytes returns the estimated size of m.
+func (m *Message) bytes() mwunit.Bytes {
+	n := headerBytes + textBytes(m.From) + textBytes(m.Holder) + 4*integerBytes
+	n += newsBytes(m.Records, m.Opinions)
+	for _, r := range m.Reaches {
+		n += r.bytes()
+	}
+	for _, s := range m.Zones {
+		n += s.bytes()
+	}
+	return n + mwunit.Bytes(len(m.InForce.Bits)) + 3*integerBytes
+}
+
+func newsBytes(rs []Record, os []Opinion) mwunit.Bytes {
+	var n mwunit.Bytes
+	for _, r := range rs {
+		n += r.bytes()
+	}
+	for _, o := range os {
+		n += o.bytes()
+	}
+	return n
+}
+
+// bytes returns the estimated size of r in a message.
+func (r Reach) bytes() mwunit.Bytes {
+	n := textBytes(r.Relay) + integerBytes
+	for _, z := range r.Unreachable {
+		n += textBytes(z)
+	}
+	return n
+}
+
+// bytes returns the estimated size of s in a message.
+func (s Summary) bytes() mwunit.Bytes { return textBytes(s.Zone) + 4*integerBytes }
+
+// hashBytes is the size of a hash in a message.
+const hashBytes = 9
+
+// bytes returns the estimated size of r.
+func (r *ExchangeRequest) bytes() mwunit.Bytes {
+	n := headerBytes + textBytes(r.From) + mwunit.Bytes(len(r.Tops))*hashBytes
+	for _, b := range r.Buckets {
+		n += integerBytes + mwunit.Bytes(len(b.Stamps))*hashBytes
+	}
+	return n + newsBytes(r.Records, r.Opinions)
+}
+
+// bytes returns the estimated size of r.
+func (r *ExchangeReply) bytes() mwunit.Bytes {
+	n := headerBytes + mwunit.Bytes(len(r.Wants))*integerBytes
+	for _, t := range r.Tops {
+		n += integerBytes + mwunit.Bytes(len(t.Digests))*hashBytes
+	}
+	return n + newsBytes(r.Records, r.Opinions)
+}
--- /dev/null
+++ b/mwlib/mwmember/news.go
@@ -0,0 +1,278 @@
+package mwmember
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// How news is passed on.
+const (
+	eagerSends   = 3 // eagerSends is to how many neighbours news goes at once.
+	lazySends    = 3 // lazySends is on how many pings it rides after that.
+	totalSends   = eagerSends + lazySends
+	newsLimit    = mwunit.Bytes(1200) // newsLimit bounds the news in one message.
+	exportLimit  = mwunit.Bytes(8192) // exportLimit bounds the news in one message to another zone.
+	collectDelay = 10 * time.Millisecond
+	passGap      = 100 * time.Millisecond
+)
+
+// equal tells whether s and t announce the same.
+func (s Service) equal(t Service) bool {
+	return s.Name == t.Name && s.Slots == t.Slots && s.Connections == t.Connections &&
+		s.Leaving == t.Leaving && maps.Equal(s.Labels, t.Labels)
+}
+
+// shuffled returns a shuffled copy of s.
+func shuffled[T any](s []T) []T {
+	out := slices.Clone(s)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
+// pick returns the addresses of up to n random nodes of from but this one.
+func (g *Gossip) pick(from []mwid.NodeID, n int) []mwid.Address {
+	var out []mwid.Address
+	for _, x := range shuffled(from) {
+		if len(out) >= n {
+			break
+		}
+		if x != g.self {
+			out = append(out, addressOf(x))
+		}
+	}
+	return out
+}
+
+// takeRecord takes r and, where it is news, queues it.
+func (g *Gossip) takeRecord(r Record) bool {
+	if !g.table.record(r, time.Now()) {
+		return false
+	}
+	g.touch()
+	g.queueRecord(r)
+	return true
+}
+
+func (g *Gossip) queueRecord(r Record) {
+	g.records.put(r.Node, r, totalSends)
+	g.opinions.drop(r.Node)
+	if r.Zone == g.zone && g.rank() < relaysPerZone {
+		g.exportRecords.put(r.Node, r, 1)
+		g.exportOpinions.drop(r.Node)
+	}
+	signal(g.wake)
+}
+
+// takeOpinion takes o and, where it is news, queues it.
+func (g *Gossip) takeOpinion(o Opinion) bool {
+	if !g.noteOpinion(o) {
+		return false
+	}
+	g.queueOpinion(o)
+	return true
+}
+
+// noteOpinion takes o and tells whether it is news.
+func (g *Gossip) noteOpinion(o Opinion) bool {
+	if !g.table.opinion(o, time.Now()) {
+		return false
+	}
+	g.touch()
+	if o.Health == Dead {
+		g.versions.Delete(o.Node)
+		g.records.drop(o.Node)
+		g.stat.deaths.Inc()
+		g.log.Info("node dead", "Node", o.Node, "Zone", o.Zone)
+	}
+	return true
+}
+
+func (g *Gossip) queueOpinion(o Opinion) {
+	g.opinions.put(o.Node, o, totalSends)
+	if o.Zone == g.zone && g.rank() < relaysPerZone {
+		g.exportOpinions.put(o.Node, o, 1)
+	}
+	signal(g.wake)
+}
+
+// learn takes records and opinions that another node sent and returns how
+// many were news.
+func (g *Gossip) learn(rs []Record, os []Opinion) int {
+	n := 0
+	for _, r := range rs {
+		if g.learnRecord(r) {
+			n++
+		}
+	}
+	for _, o := range os {
+		if g.learnOpinion(o) {
+			n++
+		}
+	}
+	return n
+}
+
+// learnRecord takes r. A record of an earlier life of this VM is answered by
+// its death, which nobody knows better.
+func (g *Gossip) learnRecord(r Record) bool {
+	if r.Node == g.self {
+		return false
+	}
+	if addressOf(r.Node) == g.addr {
+		return g.takeOpinion(Opinion{Node: r.Node, Zone: r.Zone, Incarnation: r.Incarnation, Health: Dead})
+	}
+	return g.takeRecord(r)
+}
+
+// learnOpinion takes o, or refutes it where it is of this node.
+func (g *Gossip) learnOpinion(o Opinion) bool {
+	if o.Node != g.self {
+		return g.takeOpinion(o)
+	}
+	if o.Health != Alive {
+		g.stat.refuted.Inc()
+		g.slowness.add(1)
+		g.refute(o)
+	}
+	return false
+}
+
+// passOn passes fresh news on at once, in bursts.
+func (g *Gossip) passOn(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-g.wake:
+		}
+		if !sleep(ctx, collectDelay) {
+			return
+		}
+		for again := true; again; again = g.hasFresh() {
+			g.passOnce(ctx)
+			if !sleep(ctx, passGap) {
+				return
+			}
+		}
+	}
+}
+
+// hasFresh tells whether some news was not yet sent to enough neighbours.
+func (g *Gossip) hasFresh() bool {
+	return g.records.fresh(eagerSends, totalSends) || g.opinions.fresh(eagerSends, totalSends) ||
+		g.reaches.fresh(eagerSends, totalSends) || g.zones.fresh(eagerSends, totalSends)
+}
+
+// passOnce sends news to some neighbours and, from a relay, to other zones.
+func (g *Gossip) passOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, g.period/2)
+	defer cancel()
+	var eg errgroup.Group
+	for _, a := range g.pick(g.home().fingers(g.self), eagerSends) {
+		m := g.message(newsLimit)
+		eg.Go(func() error {
+			_, err := g.ping(ctx, newsKind, a, m)
+			return err
+		})
+	}
+	g.export(ctx, &eg)
+	if err := eg.Wait(); err != nil {
+		g.log.Debug("news not passed on to all", "Error", err)
+	}
+}
+
+// message returns a message with up to limit bytes of news.
+func (g *Gossip) message(limit mwunit.Bytes) Message {
+	m := g.header()
+	m.InForce = g.inForce()
+	room := g.allowance.room(limit)
+	before := room
+	m.Opinions = g.opinions.take(&room)
+	m.Records = g.records.take(&room)
+	m.Reaches = g.reaches.take(&room)
+	m.Zones = g.zones.take(&room)
+	g.allowance.spend(before - room)
+	return m
+}
+
+// header returns a message without news.
+func (g *Gossip) header() Message {
+	m := Message{
+		From: g.self, Version: mwid.Version(g.version.Load()),
+		Digest: g.view.Load().digest,
+	}
+	if v, a := g.newest.get(); v > m.Version {
+		m.Newest, m.Holder = v, a
+	}
+	return m
+}
+
+// ping sends m and learns from the answer.
+func (g *Gossip) ping(ctx context.Context, k kind, to mwid.Address, m Message) (Message, error) {
+	res, err := g.tr.Ping(ctx, to, m)
+	if err != nil {
+		g.stat.failures[k].Inc()
+		g.stat.sent(k, m.bytes())
+		return res, err
+	}
+	g.stat.sent(k, m.bytes()+res.bytes())
+	g.hear(res)
+	return res, nil
+}
+
+// hear learns from m and tells whether its sender is in the own zone.
+func (g *Gossip) hear(m Message) bool {
+	g.learn(m.Records, m.Opinions)
+	for _, s := range m.Zones {
+		g.takeSummary(s)
+	}
+	from, ok := g.table.get(m.From)
+	near := ok && from.Zone == g.zone
+	g.sawVersion(m.From, m.Version, near)
+	g.newer(m.Newest, m.Holder, false)
+	if !near {
+		return false
+	}
+	for _, r := range m.Reaches {
+		g.takeReach(r)
+	}
+	g.mergeInForce(m.InForce)
+	return true
+}
+
+// HandlePing answers a ping.
+func (g *Gossip) HandlePing(m Message) Message {
+	if g.hear(m) {
+		return g.message(newsLimit)
+	}
+	return g.zoneHeader()
+}
+
+// sayGone tells some neighbours that this node is gone, so that nobody has
+// to find out.
+func (g *Gossip) sayGone() {
+	ctx, cancel := context.WithTimeout(context.Background(), g.period/2)
+	defer cancel()
+	m := g.header()
+	g.mu.Lock()
+	m.Opinions = []Opinion{{Node: g.self, Zone: g.zone, Incarnation: g.own.Incarnation, Health: Dead}}
+	g.mu.Unlock()
+	var eg errgroup.Group
+	for _, a := range g.pick(g.home().fingers(g.self), eagerSends) {
+		eg.Go(func() error {
+			_, err := g.tr.Ping(ctx, a, m)
+			return err
+		})
+	}
+	if err := eg.Wait(); err != nil {
+		g.log.Debug("end not told to all", "Error", err)
+	}
+}
--- /dev/null
+++ b/mwlib/mwmember/probe.go
@@ -0,0 +1,183 @@
+package mwmember
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// How failures are found.
+const (
+	helpers        = 3  // helpers ping on behalf of a node that got no answer.
+	suspectPeriods = 6  // suspectPeriods is how long a suspect may refute.
+	deadPeriods    = 10 // deadPeriods is the mean time between two pings of dead nodes.
+	// remember is how long the death of a node is remembered.
+	remember = 10 * time.Minute
+)
+
+// probeInTurn pings one neighbour in each period.
+func (g *Gossip) probeInTurn(ctx context.Context) {
+	t := time.NewTicker(g.period)
+	defer t.Stop()
+	var turn []mwid.NodeID
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		g.bury()
+		if len(turn) == 0 {
+			turn = shuffled(g.home().fingers(g.self))
+		}
+		if len(turn) > 0 {
+			n := turn[0]
+			turn = turn[1:]
+			g.probe(ctx, n)
+		}
+		if rand.N(deadPeriods) == 0 {
+			g.probeDead(ctx)
+		}
+	}
+}
+
+// bury takes suspects of the own zone for dead that did not refute in time,
+// and forgets deaths of long ago.
+func (g *Gossip) bury() {
+	now := time.Now()
+	limit := g.period * time.Duration(suspectPeriods*g.slowness.factor())
+	for _, n := range g.home().suspects {
+		m, ok := g.table.get(n)
+		if ok && m.health == Suspect && now.Sub(m.changed) >= limit {
+			o := m.opinion()
+			o.Health = Dead
+			g.takeOpinion(o)
+		}
+	}
+	g.table.forget(now.Add(-remember))
+}
+
+// probe pings n, then asks others to, and suspects it where none is
+// answered.
+func (g *Gossip) probe(ctx context.Context, n mwid.NodeID) {
+	m, ok := g.table.get(n)
+	if !ok || m.health == Dead {
+		return
+	}
+	timeout := g.period / 2 * time.Duration(g.slowness.factor())
+	found, err := g.probeDirect(ctx, m, timeout)
+	if err == nil {
+		g.slowness.add(-1)
+		g.judge(m, found)
+		return
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	found, answered := g.probeVia(ctx, n, timeout)
+	if answered == 0 {
+		g.slowness.add(1)
+	}
+	g.judge(m, found)
+}
+
+// probeDirect pings m and returns which node answered.
+func (g *Gossip) probeDirect(ctx context.Context, m member, timeout time.Duration) (mwid.NodeID, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	msg := g.message(newsLimit)
+	if m.health != Alive {
+		msg.Opinions = append(msg.Opinions, m.opinion())
+	}
+	to := addressOf(m.Node)
+	res, err := g.ping(ctx, pingKind, to, msg)
+	if err != nil {
+		return "", err
+	}
+	g.compare(to, res)
+	return res.From, nil
+}
+
+// judge draws the conclusion from a probe of m at whose address found
+// answered; empty stands for silence.
+func (g *Gossip) judge(m member, found mwid.NodeID) {
+	o := m.opinion()
+	switch found {
+	case m.Node:
+		return
+	case "":
+		o.Health = Suspect
+		if g.takeOpinion(o) {
+			g.stat.suspicions.Inc()
+		}
+	default: // The VM was replaced.
+		o.Health = Dead
+		g.takeOpinion(o)
+	}
+}
+
+// probeVia lets helpers ping n. It returns which node they found and how
+// many of them answered.
+func (g *Gossip) probeVia(ctx context.Context, n mwid.NodeID, timeout time.Duration) (mwid.NodeID, int) {
+	ctx, cancel := context.WithTimeout(ctx, 2*timeout)
+	defer cancel()
+	var mu sync.Mutex
+	var found mwid.NodeID
+	answered := 0
+	from := slices.DeleteFunc(slices.Clone(g.home().usable), func(x mwid.NodeID) bool { return x == n })
+	var eg errgroup.Group
+	for _, a := range g.pick(from, helpers) {
+		eg.Go(func() error {
+			res, err := g.tr.PingVia(ctx, a, ViaRequest{From: g.self, Target: n})
+			g.stat.sent(viaKind, 2*headerBytes+2*textBytes(n))
+			if err != nil {
+				g.stat.failures[viaKind].Inc()
+				return err
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			answered++
+			if found == "" {
+				found = res.Found
+			}
+			return nil
+		})
+	}
+	if err := eg.Wait(); err != nil {
+		g.log.Debug("helper without answer", "Error", err)
+	}
+	return found, answered
+}
+
+// HandlePingVia pings on behalf of another node.
+func (g *Gossip) HandlePingVia(ctx context.Context, r ViaRequest) ViaReply {
+	ctx, cancel := context.WithTimeout(ctx, g.period/2)
+	defer cancel()
+	res, err := g.ping(ctx, viaKind, addressOf(r.Target), g.header())
+	if err != nil {
+		return ViaReply{}
+	}
+	return ViaReply{Found: res.From}
+}
+
+// probeDead pings a dead node of the own zone: where it lives after all, as
+// after a partition, it hears of its death and refutes it.
+func (g *Gossip) probeDead(ctx context.Context) {
+	dead := g.home().dead
+	if len(dead) == 0 {
+		return
+	}
+	m, ok := g.table.get(dead[rand.N(len(dead))])
+	if !ok || m.health != Dead || addressOf(m.Node) == g.addr {
+		return
+	}
+	if _, err := g.probeDirect(ctx, m, g.period/2); err != nil {
+		g.log.Debug("dead node silent", "Node", m.Node, "Error", err)
+	}
+}
--- /dev/null
+++ b/mwlib/mwmember/record.go
@@ -0,0 +1,128 @@
+package mwmember
+
+import (
+	"encoding/binary"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwlabel"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Incarnation orders the records that one node wrote of itself.
+type Incarnation uint64
+
+// Health is what others think of a node.
+type Health uint8
+
+// Healths, each overriding those before it at the same Incarnation.
+const (
+	Alive Health = iota
+	Suspect
+	Dead
+)
+
+// Service is one announced service of a node.
+type Service struct {
+	Name        mwid.ServiceName
+	Slots       mwunit.Slots
+	Connections mwunit.Connections
+	Labels      mwlabel.Set
+	Leaving     bool
+}
+
+// Record is what a node says of itself. Nobody else writes it.
+type Record struct {
+	Node        mwid.NodeID
+	Zone        mwid.ZoneName
+	Region      mwid.RegionName
+	Incarnation Incarnation
+	Leaving     bool
+	Services    []Service
+}
+
+// Opinion is what some node thinks of another one at an Incarnation. The
+// node refutes it by a Record with a greater Incarnation.
+type Opinion struct {
+	Node        mwid.NodeID
+	Zone        mwid.ZoneName
+	Incarnation Incarnation
+	Health      Health
+}
+
+// addressOf returns the peer address that is part of n.
+func addressOf(n mwid.NodeID) mwid.Address {
+	a, _, _ := strings.Cut(string(n), "#")
+	return mwid.Address(a)
+}
+
+// Estimates of the encoded size of parts of messages, in bytes.
+const (
+	fieldBytes   = 2
+	integerBytes = 4
+	headerBytes  = 24
+)
+
+func textBytes[T ~string](s T) mwunit.Bytes { return mwunit.Bytes(len(s)) + fieldBytes }
+
+// bytes returns the estimated size of s in a message.
+func (s Service) bytes() mwunit.Bytes {
+	n := textBytes(s.Name) + 3*integerBytes
+	for k, v := range s.Labels {
+		n += textBytes(k) + textBytes(v)
+	}
+	return n
+}
+
+// bytes returns the estimated size of r in a message.
+func (r Record) bytes() mwunit.Bytes {
+	n := textBytes(r.Node) + textBytes(r.Zone) + textBytes(r.Region) + 2*integerBytes
+	for _, s := range r.Services {
+		n += s.bytes()
+	}
+	return n
+}
+
+// bytes returns the estimated size of o in a message.
+func (o Opinion) bytes() mwunit.Bytes {
+	return textBytes(o.Node) + textBytes(o.Zone) + 2*integerBytes
+}
+
+// state returns the state of the target that s of r is, but for its zone.
+func (r Record) state(s Service, h Health) mwcall.TargetState {
+	switch {
+	case r.Leaving || s.Leaving:
+		return mwcall.Leaving
+	case h == Suspect:
+		return mwcall.Suspect
+	default:
+		return mwcall.Up
+	}
+}
+
+// hash returns the hash of n, by which members are put into buckets.
+func hash(n mwid.NodeID) uint64 { return xxhash.Sum64String(string(n)) }
+
+// score returns the rendezvous hash of n for duty.
+func score(duty string, n mwid.NodeID) uint64 {
+	d := xxhash.New()
+	d.WriteString(duty)
+	d.WriteString("\x00")
+	d.WriteString(string(n))
+	return d.Sum64()
+}
+
+// stamp returns a hash of what is known of a node: two tables that have the
+// same stamps know the same.
+func stamp(n mwid.NodeID, i Incarnation, h Health) uint64 {
+	var b [9]byte
+	binary.LittleEndian.PutUint64(b[:], uint64(i))
+	b[8] = byte(h)
+	d := xxhash.New()
+	d.WriteString(string(n))
+	d.Write(b[:])
+	return d.Sum64()
+}
--- /dev/null
+++ b/mwlib/mwmember/relay.go
@@ -0,0 +1,259 @@
+package mwmember
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// How relays watch other zones.
+const (
+	relayPeriod  = time.Second
+	relayTimeout = 800 * time.Millisecond
+	awayFailures = 3 // awayFailures in a row make a zone unreachable for a relay.
+	reachPeriod  = 10 * time.Second
+	summaryGap   = 4 * time.Second
+)
+
+// relay is this node's work as one of its zone's relays. While the node is
+// none, it rests. Only its own goroutine uses its state, but for zones.
+type relay struct {
+	g        *Gossip
+	round    int
+	mu       sync.Mutex
+	failures map[mwid.ZoneName]int // failures in a row.
+	said     []mwid.ZoneName
+	saidAt   time.Time
+	seq      uint64
+	summary  time.Time
+}
+
+func newRelay(g *Gossip) *relay {
+	return &relay{g: g, failures: make(map[mwid.ZoneName]int)}
+}
+
+// rank returns this node's place among its zone's relays, or relaysPerZone.
+func (g *Gossip) rank() int {
+	if i := slices.Index(g.home().relays, g.self); i >= 0 {
+		return i
+	}
+	return relaysPerZone
+}
+
+// run pings other zones in each period.
+func (r *relay) run(ctx context.Context) {
+	t := time.NewTicker(relayPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		i := r.g.rank()
+		if i >= relaysPerZone {
+			r.round, r.said = 0, nil
+			clear(r.failures)
+			continue
+		}
+		r.pingZones(ctx, i)
+		r.round++
+		if r.round > relaysPerZone {
+			r.say()
+		}
+		if i == 0 {
+			r.summarise()
+		}
+	}
+}
+
+// pingZones pings a third of the other zones, so that the relays together
+// ping each one in each period, and every zone that did not answer last.
+func (r *relay) pingZones(ctx context.Context, rank int) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout)
+	defer cancel()
+	v := r.g.view.Load()
+	var eg errgroup.Group
+	for i, n := range v.names {
+		z := v.zones[n]
+		if n == r.g.zone || len(z.live) == 0 {
+			continue
+		}
+		failed := r.failed(n)
+		if failed == 0 && (i+r.round)%relaysPerZone != rank {
+			continue
+		}
+		to := r.contact(z, failed)
+		eg.Go(func() error { return r.pingZone(ctx, n, to) })
+	}
+	if err := eg.Wait(); err != nil {
+		r.g.log.Debug("zone silent", "Error", err)
+	}
+}
+
+// contact returns whom to ping in z: its relays in turn or, where they were
+// silent, any of its nodes.
+func (r *relay) contact(z *zoneView, failed int) mwid.Address {
+	if failed < len(z.relays) {
+		return addressOf(z.relays[(r.round/relaysPerZone+failed)%len(z.relays)])
+	}
+	return addressOf(z.live[rand.N(len(z.live))])
+}
+
+func (r *relay) failed(n mwid.ZoneName) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failures[n]
+}
+
+func (r *relay) pingZone(ctx context.Context, n mwid.ZoneName, to mwid.Address) error {
+	res, err := r.g.ping(ctx, relayKind, to, r.g.zoneHeader())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err != nil {
+		r.failures[n]++
+		return err
+	}
+	r.failures[n] = 0
+	r.g.compare(to, res)
+	return nil
+}
+
+// say tells the own zone which other zones can't be reached, on a change and
+// now and then.
+func (r *relay) say() {
+	r.mu.Lock()
+	var away []mwid.ZoneName
+	for n, f := range r.failures {
+		if f >= awayFailures {
+			away = append(away, n)
+		}
+	}
+	r.mu.Unlock()
+	slices.Sort(away)
+	now := time.Now()
+	if slices.Equal(away, r.said) && now.Sub(r.saidAt) < reachPeriod {
+		return
+	}
+	r.said, r.saidAt = away, now
+	r.seq++
+	r.g.takeReach(Reach{Relay: r.g.self, Seq: r.seq, Unreachable: away})
+}
+
+// summarise makes known the state of the own zone where it changed.
+func (r *relay) summarise() {
+	now := time.Now()
+	s := r.g.summarise()
+	old, ok := r.g.summaries.Get(s.Zone)
+	s.Stamp = old.Stamp
+	if (ok && s == old) || now.Sub(r.summary) < summaryGap {
+		return
+	}
+	r.summary = now
+	s.Stamp++
+	r.g.takeSummary(s)
+}
+
+// takeReach takes what a relay of the own zone says of other zones.
+func (g *Gossip) takeReach(x Reach) {
+	taken, changed := false, false
+	g.reach.Update(x.Relay, func(old Reach, ok bool) (Reach, bool) {
+		if ok && old.Seq >= x.Seq {
+			return old, true
+		}
+		taken = true
+		changed = !slices.Equal(old.Unreachable, x.Unreachable)
+		return x, true
+	})
+	if !taken {
+		return
+	}
+	g.reaches.put(x.Relay, x, totalSends)
+	signal(g.wake)
+	if changed {
+		g.log.Info("reach of other zones changed", "Relay", x.Relay, "Unreachable", x.Unreachable)
+		signal(g.dirty)
+	}
+}
+
+// isAway tells whether z can't be reached: all relays of the own zone that
+// said something say so.
+func (g *Gossip) isAway(v *view, z mwid.ZoneName) bool {
+	home := v.zones[g.zone]
+	if home == nil || z == g.zone {
+		return false
+	}
+	said := 0
+	for _, n := range home.relays {
+		x, ok := g.reach.Get(n)
+		if !ok {
+			continue
+		}
+		said++
+		if !slices.Contains(x.Unreachable, z) {
+			return false
+		}
+	}
+	return said > 0
+}
+
+// takeSummary takes the state of a zone as one of its relays sees it.
+func (g *Gossip) takeSummary(s Summary) {
+	taken := false
+	g.summaries.Update(s.Zone, func(old Summary, ok bool) (Summary, bool) {
+		if ok && old.Stamp >= s.Stamp {
+			return old, true
+		}
+		taken = true
+		return s, true
+	})
+	if taken {
+		g.zones.put(s.Zone, s, totalSends)
+		signal(g.wake)
+	}
+}
+
+// zoneHeader returns a message without news for another zone: a header with
+// the state of the own zone.
+func (g *Gossip) zoneHeader() Message {
+	m := g.header()
+	if s, ok := g.summaries.Get(g.zone); ok {
+		m.Zones = []Summary{s}
+	}
+	return m
+}
+
+// export sends news of the own zone to other zones, where this node is one
+// of the relays that do so.
+func (g *Gossip) export(ctx context.Context, eg *errgroup.Group) {
+	v := g.view.Load()
+	home := v.zones[g.zone]
+	if !slices.Contains(home.relays, g.self) {
+		return
+	}
+	m := g.zoneHeader()
+	room := exportLimit
+	m.Opinions = g.exportOpinions.take(&room)
+	m.Records = g.exportRecords.take(&room)
+	for _, n := range v.names {
+		z := v.zones[n]
+		if n == g.zone || z.away || len(z.relays) == 0 {
+			continue
+		}
+		i := slices.Index(best(string(n), home.relays, exportersOfOne), g.self)
+		if i < 0 {
+			continue
+		}
+		to := addressOf(z.relays[i%len(z.relays)])
+		eg.Go(func() error {
+			_, err := g.ping(ctx, exportKind, to, m)
+			return err
+		})
+	}
+}
--- /dev/null
+++ b/mwlib/mwmember/transport.go
@@ -0,0 +1,94 @@
+package mwmember
+
+import (
+	"context"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// Transport carries the messages of membership. Each call returns by the
+// deadline of its context.
+type Transport interface {
+	// Serve lets h answer what others send to this node.
+	Serve(h Handler) error
+	// Ping sends m and returns the answer.
+	Ping(ctx context.Context, to mwid.Address, m Message) (Message, error)
+	// PingVia asks the node at via to ping another one.
+	PingVia(ctx context.Context, via mwid.Address, r ViaRequest) (ViaReply, error)
+	// Exchange makes one step of an exchange.
+	Exchange(ctx context.Context, to mwid.Address, r ExchangeRequest) (ExchangeReply, error)
+}
+
+// Handler answers the messages of membership.
+type Handler interface {
+	HandlePing(m Message) Message
+	HandlePingVia(ctx context.Context, r ViaRequest) ViaReply
+	HandleExchange(r ExchangeRequest) ExchangeReply
+}
+
+// rpcName is the name under which the methods are served.
+const rpcName = "Member"
+
+// rpcTransport carries messages by mwkernel.Peers.
+type rpcTransport struct {
+	peers mwkernel.Peers
+}
+
+// NewTransport returns a Transport over p.
+func NewTransport(p mwkernel.Peers) Transport { return rpcTransport{p} }
+
+// Serve lets h answer.
+func (t rpcTransport) Serve(h Handler) error {
+	return t.peers.Handle(rpcName, &rpcHandler{h})
+}
+
+// Ping calls Member.Ping.
+func (t rpcTransport) Ping(ctx context.Context, to mwid.Address, m Message) (Message, error) {
+	var res Message
+	err := t.peers.Call(ctx, to, rpcName+".Ping", &m, &res)
+	return res, err
+}
+
+// PingVia calls Member.PingVia.
+func (t rpcTransport) PingVia(ctx context.Context, via mwid.Address, r ViaRequest) (ViaReply, error) {
+	var res ViaReply
+	err := t.peers.Call(ctx, via, rpcName+".PingVia", &r, &res)
+	return res, err
+}
+
+// Exchange calls Member.Exchange.
+func (t rpcTransport) Exchange(ctx context.Context, to mwid.Address, r ExchangeRequest) (ExchangeReply, error) {
+	var res ExchangeReply
+	err := t.peers.Call(ctx, to, rpcName+".Exchange", &r, &res)
+	return res, err
+}
+
+// rpcHandler has the methods that are served.
+type rpcHandler struct {
+	h Handler
+}
+
+// Ping answers a ping.
+func (r *rpcHandler) Ping(req *Message, res *Message) error {
+	*res = r.h.HandlePing(*req)
+	return nil
+}
+
+// serveTimeout bounds what a handler does for others.
+const serveTimeout = time.Second
+
+// PingVia pings on behalf of another node.
+func (r *rpcHandler) PingVia(req *ViaRequest, res *ViaReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), serveTimeout)
+	defer cancel()
+	*res = r.h.HandlePingVia(ctx, *req)
+	return nil
+}
+
+// Exchange answers one step of an exchange.
+func (r *rpcHandler) Exchange(req *ExchangeRequest, res *ExchangeReply) error {
+	*res = r.h.HandleExchange(*req)
+	return nil
+}
--- /dev/null
+++ b/mwlib/mwmember/view.go
@@ -0,0 +1,185 @@
+package mwmember
+
+import (
+	"cmp"
+	"maps"
+	"math/bits"
+	"slices"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// Counts of the parts that nodes are put into.
+const (
+	topBuckets     = 16
+	bucketsPerTop  = 16
+	buckets        = topBuckets * bucketsPerTop
+	relaysPerZone  = 3
+	relayDuty      = "relay"
+	exportersOfOne = 2 // exportersOfOne is how many relays tell one other zone of news.
+)
+
+// view is what the table comes to. It never changes, so that the path of
+// calls reads it without a lock; a change of the table makes a new one.
+type view struct {
+	targets  map[mwid.ServiceName][]mwcall.Target
+	services []mwid.ServiceName
+	zones    map[mwid.ZoneName]*zoneView
+	names    []mwid.ZoneName // names are those of zones, sorted.
+	digests  [buckets]uint64
+	digest   uint64
+}
+
+// zoneView is what is known of one availability zone.
+type zoneView struct {
+	name     mwid.ZoneName
+	region   mwid.RegionName
+	live     []mwid.NodeID // live are the nodes not known dead, in the order of the ring.
+	usable   []mwid.NodeID // usable are those of live that are neither suspect nor leaving.
+	suspects []mwid.NodeID
+	dead     []mwid.NodeID
+	relays   []mwid.NodeID
+	ring     uint64 // ring is a hash over live.
+	away     bool   // away tells that the zone can't be reached.
+}
+
+// bucketOf returns the bucket of n.
+func bucketOf(n mwid.NodeID) int { return int(hash(n) % buckets) }
+
+// newView returns the view of ms. away tells which zones can't be reached,
+// once their relays are known.
+func newView(ms []member, away func(v *view, z mwid.ZoneName) bool) *view {
+	slices.SortFunc(ms, func(a, b member) int { return cmp.Compare(hash(a.Node), hash(b.Node)) })
+	v := &view{
+		targets: make(map[mwid.ServiceName][]mwcall.Target),
+		zones:   make(map[mwid.ZoneName]*zoneView),
+	}
+	for i := range ms {
+		v.add(&ms[i])
+	}
+	for _, z := range v.zones {
+		z.elect()
+	}
+	for _, z := range v.zones {
+		z.away = away(v, z.name)
+	}
+	for i := range ms {
+		v.addTargets(&ms[i])
+	}
+	v.names = slices.Sorted(maps.Keys(v.zones))
+	v.services = slices.Sorted(maps.Keys(v.targets))
+	return v
+}
+
+func (v *view) zone(n mwid.ZoneName) *zoneView {
+	z, ok := v.zones[n]
+	if !ok {
+		z = &zoneView{name: n}
+		v.zones[n] = z
+	}
+	return z
+}
+
+// add puts m into its zone and bucket.
+func (v *view) add(m *member) {
+	z := v.zone(m.Zone)
+	if m.health == Dead {
+		z.dead = append(z.dead, m.Node)
+		return
+	}
+	s := stamp(m.Node, m.Incarnation, m.health)
+	v.digests[bucketOf(m.Node)] ^= s
+	v.digest ^= s
+	z.region = m.Region
+	z.live = append(z.live, m.Node)
+	z.ring = bits.RotateLeft64(z.ring, 1) ^ hash(m.Node)
+	switch {
+	case m.health == Suspect:
+		z.suspects = append(z.suspects, m.Node)
+	case !m.Leaving:
+		z.usable = append(z.usable, m.Node)
+	}
+}
+
+// elect picks the relays of z.
+func (z *zoneView) elect() {
+	from := z.usable
+	if len(from) == 0 {
+		from = z.live
+	}
+	z.relays = best(relayDuty, from, relaysPerZone)
+}
+
+// best returns the n nodes of from that come first for duty.
+func best(duty string, from []mwid.NodeID, n int) []mwid.NodeID {
+	type scored struct {
+		n mwid.NodeID
+		s uint64
+	}
+	ss := make([]scored, len(from))
+	for i, x := range from {
+		ss[i] = scored{x, score(duty, x)}
+	}
+	slices.SortFunc(ss, func(a, b scored) int { return cmp.Compare(b.s, a.s) })
+	out := make([]mwid.NodeID, 0, min(n, len(ss)))
+	for _, s := range ss[:min(n, len(ss))] {
+		out = append(out, s.n)
+	}
+	return out
+}
+
+// addTargets adds the targets of m.
+func (v *view) addTargets(m *member) {
+	if m.health == Dead {
+		return
+	}
+	away := v.zones[m.Zone].away
+	for _, s := range m.Services {
+		t := mwcall.Target{
+			Node: m.Node, Peer: addressOf(m.Node), Service: s.Name, Zone: m.Zone, Region: m.Region,
+			Slots: s.Slots, Connections: s.Connections, Labels: s.Labels,
+			State: m.state(s, m.health), Since: m.since,
+		}
+		if away {
+			t.State = mwcall.Unreachable
+		}
+		v.targets[s.Name] = append(v.targets[s.Name], t)
+	}
+}
+
+// fingers returns the nodes that n pings: those that come 1, 2, 4, 8 and so
+// on after it in the ring. So each node is pinged by as many as it pings,
+// needs few open connections, and news crosses the zone in few steps.
+func (z *zoneView) fingers(n mwid.NodeID) []mwid.NodeID {
+	i := slices.Index(z.live, n)
+	if i < 0 {
+		return nil
+	}
+	var out []mwid.NodeID
+	for d := 1; d < len(z.live); d *= 2 {
+		out = append(out, z.live[(i+d)%len(z.live)])
+	}
+	return out
+}
+
+// tops returns the digests of the top buckets.
+func (v *view) tops() []uint64 {
+	out := make([]uint64, topBuckets)
+	for i, d := range v.digests {
+		out[i/bucketsPerTop] ^= d
+	}
+	return out
+}
+
+// others returns the live nodes of all zones but n.
+func (v *view) others(n mwid.NodeID) int {
+	count := 0
+	for _, z := range v.zones {
+		count += len(z.live)
+		if slices.Contains(z.live, n) {
+			count--
+		}
+	}
+	return count
+}
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -64,6 +64,7 @@
 type Member struct {
 	Join   []mwid.Address `long:"join" env:"JOIN" env-delim:"," description:"peer addresses of known nodes, IP:port"`
 	Period time.Duration  `long:"period" env:"PERIOD" default:"500ms" description:"time between two rounds of gossip"`
+	Rate   mwunit.Bytes   `long:"rate" env:"RATE" default:"2048" description:"greatest rate of news and exchanges, bytes a second"`
 }
 
 // Admit bounds the admission.
--- a/mwlib/mwunit/unit.go
+++ b/mwlib/mwunit/unit.go
@@ -32,3 +32,6 @@
 // MaxDepth is the greatest Depth that a node accepts; a deeper call is taken
 // for a loop.
 const MaxDepth Depth = 64
+
+// Nodes counts nodes.
+type Nodes int
