mwkernel: test the path of a call in virtual time

Small fakes stand for the plug-ins and the wire; retries, tokens and hedges are the real ones. Random weather over chains of 17 with fan-out checks the root's budget, that each answer goes out once, and that slots are freed.

A refusal that stands for a dropped failure no longer counts as a failure's answer.

--- /dev/null
+++ b/mwlib/mwkernel/chain_test.go
@@ -0,0 +1,177 @@
+package mwkernel_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// depth is the number of services in a chain.
+const depth = 17
+
+func level(i int) mwid.ServiceName { return mwid.ServiceName(fmt.Sprintf("s%d", i)) }
+
+// weather says how backend servers behave in one run of a chain.
+type weather struct {
+	seed     uint64
+	budget   mwunit.Attempts
+	replicas int
+	fanOut   int     // fanOut is the calls that levels 3 and 8 make at the same time.
+	failing  float64 // failing is the part of the calls that go wrong.
+	bottom   bool    // bottom tells that only the last level goes wrong.
+	hedge    bool
+}
+
+// chain runs one request down a chain in w.
+type chain struct {
+	weather
+	mu       sync.Mutex
+	rnd      *rand.Rand
+	arrivals map[mwid.ServiceName]int
+}
+
+// roll returns a random delay and whether a call at s goes wrong, and how.
+func (ch *chain) roll(s mwid.ServiceName) (time.Duration, mwcode.Code, bool) {
+	ch.mu.Lock()
+	defer ch.mu.Unlock()
+	ch.arrivals[s]++
+	d := time.Duration(ch.rnd.IntN(5)) * time.Millisecond
+	codes := []mwcode.Code{mwcode.OK, mwcode.Overloaded, mwcode.ConnectionLost, mwcode.BackendUnavailable}
+	code := codes[ch.rnd.IntN(len(codes))]
+	return d, code, ch.rnd.Float64() < ch.failing && (!ch.bottom || s == level(depth-1))
+}
+
+// handle calls the next level, as often as the level asks for.
+func (ch *chain) handle(ctx context.Context, n *node, c *mwcall.Call) (mwcall.Head, error) {
+	d, code, wrong := ch.roll(c.Service)
+	time.Sleep(d)
+	var i int
+	fmt.Sscanf(string(c.Service), "s%d", &i)
+	calls := 1
+	if i == 3 || i == 8 {
+		calls = ch.fanOut
+	}
+	failed := false
+	if i+1 < depth {
+		failed = ch.below(ctx, n, c, i+1, calls)
+	}
+	if wrong && code != mwcode.OK {
+		return mwcall.Head{}, mwcode.New(code)
+	}
+	failed = failed || wrong
+	return mwcall.Head{Failed: failed, Elsewhere: failed}, nil
+}
+
+// below makes calls to level i at the same time and tells whether one failed.
+func (ch *chain) below(ctx context.Context, n *node, c *mwcall.Call, i, calls int) bool {
+	var wg sync.WaitGroup
+	bad := make([]bool, calls)
+	for j := range calls {
+		wg.Go(func() {
+			ex := n.call(ctx, mwcall.Call{Service: level(i), Origin: mwcall.Local, Parent: c.Attempt})
+			bad[j] = ex.err != nil || ex.head.Failed
+		})
+	}
+	wg.Wait()
+	for _, b := range bad {
+		if b {
+			return true
+		}
+	}
+	return false
+}
+
+// run sends one request through a chain and returns what happened.
+func (ch *chain) run(t *testing.T, policy func(*mwsetting.Node)) (*world, *exchange) {
+	c := qt.New(t)
+	w := newWorld(c, ch.handle)
+	w.class.Retries = ch.budget
+	for i := range depth {
+		for range ch.replicas {
+			w.add(level(i), policy)
+		}
+	}
+	entry := w.add("", policy)
+	ex := entry.call(context.Background(), mwcall.Call{Service: level(0)})
+	time.Sleep(w.class.Deadline) // What was cancelled ends too.
+	synctest.Wait()
+	return w, ex
+}
+
+func newChain(wt weather) *chain {
+	return &chain{
+		weather: wt, rnd: rand.New(rand.NewPCG(wt.seed, 0)), arrivals: make(map[mwid.ServiceName]int),
+	}
+}
+
+func TestRetriesStayWithinTheRootsBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		wt := weather{
+			seed:     rapid.Uint64().Draw(rt, "seed"),
+			budget:   mwunit.Attempts(rapid.IntRange(0, 6).Draw(rt, "budget")),
+			replicas: rapid.IntRange(1, 3).Draw(rt, "replicas"),
+			fanOut:   rapid.IntRange(1, 3).Draw(rt, "fan-out"),
+			failing:  rapid.Float64Range(0, 1).Draw(rt, "failing"),
+			bottom:   rapid.Bool().Draw(rt, "bottom"),
+			hedge:    rapid.Bool().Draw(rt, "hedge"),
+		}
+		synctest.Test(t, func(t *testing.T) {
+			ch := newChain(wt)
+			w, _ := ch.run(t, func(s *mwsetting.Node) {
+				if wt.hedge {
+					s.Plugins.Retry = "hedger"
+				}
+			})
+			if n := w.count("mw_retries_total") + w.count("mw_hedges_total"); n > int(wt.budget) {
+				rt.Errorf("%d retries with a budget of %d", n, wt.budget)
+			}
+			most := (1 + int(wt.budget)) * wt.fanOut * wt.fanOut
+			if n := ch.arrivals[level(depth-1)]; n > most {
+				rt.Errorf("%d attempts at the bottom, most %d", n, most)
+			}
+			if n := w.faults.Load(); n > 0 {
+				rt.Errorf("%d answers sent or dropped other than once", n)
+			}
+			if n := w.busy.Load(); n != 0 {
+				rt.Errorf("%d slots still taken", n)
+			}
+		})
+	})
+}
+
+func TestBottomOfAFailingChain(t *testing.T) {
+	tests := []struct {
+		name   string
+		policy func(*mwsetting.Node)
+		budget mwunit.Attempts
+		most   int
+	}{
+		{"chain, budget 3", func(s *mwsetting.Node) { s.Plugins.Retry = "chain" }, 3, 4},
+		{"chain, no budget", func(s *mwsetting.Node) { s.Plugins.Retry = "chain" }, 0, 1},
+		{"off", func(s *mwsetting.Node) { s.Plugins.Retry = "off" }, 3, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ch := newChain(weather{budget: test.budget, replicas: 3, fanOut: 1, failing: 1, bottom: true})
+				_, ex := ch.run(t, test.policy)
+				c := qt.New(t)
+				c.Check(ch.arrivals[level(depth-1)] <= test.most, qt.IsTrue)
+				c.Check(ex.err != nil || ex.head.Failed, qt.IsTrue)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mwlib/mwkernel/fake_test.go
@@ -0,0 +1,337 @@
+package mwkernel_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	_ "mustardwheel.example/mwlib/mwretry"
+	_ "mustardwheel.example/mwlib/mwroute"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// handler plays a backend server that works on c at n.
+type handler func(ctx context.Context, n *node, c *mwcall.Call) (mwcall.Head, error)
+
+// world is some nodes in one process, and what happened there.
+type world struct {
+	*qt.C
+	handle handler
+	class  mwcall.Class
+	claim  *claim
+	slots  mwunit.Slots
+
+	mu    sync.Mutex
+	nodes map[mwid.NodeID]*node
+
+	delivered atomic.Int64
+	busy      atomic.Int64 // busy counts the slots that are taken.
+	faults    atomic.Int64 // faults counts broken promises of answers.
+}
+
+// worlds has the world of each region, by which a plug-in finds its own.
+var worlds sync.Map
+
+// node is a kernel of a world.
+type node struct {
+	*mwkernel.Kernel
+	w       *world
+	metrics *metrics.Set
+	end     func()
+}
+
+func newWorld(c *qt.C, h handler) *world {
+	w := &world{C: c, handle: h, nodes: make(map[mwid.NodeID]*node), slots: 100}
+	w.class.Verdict = mwconfig.Verdict{
+		Repeatable: true, Retries: 1, Deadline: 10 * time.Second, CallerRatio: 1,
+	}
+	return w
+}
+
+// add starts a node with a backend server of s.
+func (w *world) add(s mwid.ServiceName, change func(*mwsetting.Node)) *node {
+	region := mwid.RegionName(mwid.NewRootID())
+	worlds.Store(region, w)
+	set := &mwsetting.Node{
+		Place:  mwsetting.Place{Zone: "wien-a", Region: region},
+		Listen: mwsetting.Listen{Peer: mwid.Address(mwid.NewBootID())},
+		Route:  mwsetting.Route{EjectRatio: 0.34, SlowFactor: 3},
+		Retry:  mwsetting.Retry{TokenRatio: 0.1, TokenReserve: 1000, CallerReserve: 1000},
+		Plugins: mwsetting.Plugins{
+			Membership: "fake", Configuration: "fake", Classifier: "fake", Admission: "fake",
+			Router: "random", Retry: "chain", Ledger: "fake",
+		},
+	}
+	if change != nil {
+		change(set)
+	}
+	n := &node{w: w, metrics: metrics.NewSet()}
+	k, end, err := mwkernel.New(set, mwkernel.WithMetrics(n.metrics),
+		mwkernel.WithLog(slog.New(slog.NewJSONHandler(io.Discard, nil))))
+	w.Assert(err, qt.IsNil)
+	n.Kernel, n.end = k, end
+	w.Cleanup(end)
+	w.mu.Lock()
+	w.nodes[k.Self().Node] = n
+	w.mu.Unlock()
+	if s != "" {
+		w.Assert(k.Announce(announcement(s)), qt.IsNil)
+	}
+	return n
+}
+
+func announcement(s mwid.ServiceName) mwcall.Announcement {
+	return mwcall.Announcement{
+		Service: s, Address: "127.0.0.1:1", Slots: 10, Connections: 10, TTL: mwkernel.MaxTTL,
+	}
+}
+
+// count returns the sum of a counter over all nodes.
+func (w *world) count(name string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, nd := range w.nodes {
+		n += int(nd.metrics.GetOrCreateCounter(name).Get())
+	}
+	return n
+}
+
+// call makes one call at n and returns how the caller was answered.
+func (n *node) call(ctx context.Context, c mwcall.Call) *exchange {
+	ex := &exchange{w: n.w, n: n, resendable: true}
+	n.Serve(ctx, &c, ex)
+	if ex.answers.Load() != 1 {
+		n.w.faults.Add(1)
+	}
+	return ex
+}
+
+// exchange is a call between a caller and a node.
+type exchange struct {
+	w          *world
+	n          *node
+	resendable bool
+	answers    atomic.Int64
+	head       mwcall.Head
+	err        error
+}
+
+func (e *exchange) Resendable() bool { return e.resendable }
+
+func (e *exchange) Refuse(err error, h mwcall.Head) {
+	e.answers.Add(1)
+	e.err, e.head = err, h
+}
+
+func (e *exchange) Replay(mwcall.Kept) (mwkernel.Answer, error) { return e.answer(mwcall.Head{}), nil }
+
+func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, _ mwcall.Announcement) (mwkernel.Answer, error) {
+	e.w.delivered.Add(1)
+	h, err := e.w.handle(ctx, e.n, c)
+	if err != nil {
+		return nil, err
+	}
+	return e.answer(h), nil
+}
+
+func (e *exchange) answer(h mwcall.Head) *answer { return &answer{e: e, h: h} }
+
+// Forward takes the call to another node of the world. The other node's
+// answer is sent when this one is, as bytes would be passed on.
+func (e *exchange) Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (mwkernel.Answer, error) {
+	e.w.mu.Lock()
+	n := e.w.nodes[t.Node]
+	e.w.mu.Unlock()
+	peer := *c
+	peer.Origin = mwcall.Peer
+	in := &wire{exchange: exchange{w: e.w, n: n}, ready: make(chan struct{}), over: make(chan error, 1)}
+	go func() {
+		n.Serve(ctx, &peer, in)
+		if in.answers.Load() != 1 {
+			e.w.faults.Add(1)
+		}
+	}()
+	<-in.ready
+	if in.err != nil {
+		return nil, &mwkernel.Refusal{Head: in.head, Err: mwcode.New(in.head.Code)}
+	}
+	a := e.answer(in.head)
+	a.over = in.over
+	return a, nil
+}
+
+// wire is the far end of a call between two nodes.
+type wire struct {
+	exchange
+	ready chan struct{} // ready is closed when the head is there.
+	over  chan error
+}
+
+func (x *wire) Refuse(err error, h mwcall.Head) {
+	x.exchange.Refuse(err, h)
+	close(x.ready)
+}
+
+func (x *wire) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
+	ans, err := x.exchange.Deliver(ctx, c, a)
+	if err == nil {
+		ans.(*answer).up = x
+	}
+	return ans, err
+}
+
+// answer is the answer of a backend server or of another node.
+type answer struct {
+	e    *exchange
+	h    mwcall.Head
+	done atomic.Int64
+	over chan error // over tells the other node how its answer ended.
+	up   *wire
+}
+
+var errDropped = errors.New("dropped")
+
+func (a *answer) Head() mwcall.Head { return a.h }
+
+func (a *answer) Kept() (mwcall.Kept, bool) { return nil, true }
+
+func (a *answer) Send(h mwcall.Head) error {
+	a.end(nil)
+	a.e.answers.Add(1)
+	a.e.head = h
+	if a.up == nil {
+		return nil
+	}
+	close(a.up.ready)
+	return <-a.up.over
+}
+
+func (a *answer) Drop() { a.end(errDropped) }
+
+func (a *answer) end(err error) {
+	if a.done.Add(1) != 1 {
+		a.e.w.faults.Add(1)
+	}
+	if a.over != nil {
+		a.over <- err
+	}
+}
+
+// fakes are the plug-ins of a world's node.
+type fakes struct {
+	mwkernel.Membership
+	w    *world
+	snap *mwconfig.Snapshot
+}
+
+func (f *fakes) Targets(s mwid.ServiceName) []mwcall.Target {
+	f.w.mu.Lock()
+	defer f.w.mu.Unlock()
+	var ts []mwcall.Target
+	for _, n := range f.w.nodes {
+		for _, a := range n.Announced() {
+			if a.Service == s {
+				t := n.Self()
+				t.Service, t.Slots = s, a.Slots
+				ts = append(ts, t)
+			}
+		}
+	}
+	return ts
+}
+
+func (f *fakes) Announce(mwcall.Announcement) {}
+func (f *fakes) Withdraw(mwid.ServiceName)    {}
+func (f *fakes) Leave()                       {}
+
+func (f *fakes) Snapshot() *mwconfig.Snapshot { return f.snap }
+
+func (f *fakes) Classify(c *mwcall.Call, _ *mwconfig.Snapshot, _ mwconfig.Server) {
+	c.Class = f.w.class
+}
+
+func (f *fakes) Observe(*mwcall.Call, mwcall.Sample) {}
+
+// admission has w.slots slots and no queue.
+type admission struct{ w *world }
+
+func (a admission) Announce(mwcall.Announcement) {}
+
+func (a admission) Load(mwid.ServiceName) mwkernel.Load { return mwkernel.Load{} }
+
+func (a admission) Admit(context.Context, *mwcall.Call) (mwkernel.Release, error) {
+	if a.w.busy.Add(1) > int64(a.w.slots) {
+		a.w.busy.Add(-1)
+		return nil, mwcode.New(mwcode.Overloaded)
+	}
+	return func(mwcall.Sample) { a.w.busy.Add(-1) }, nil
+}
+
+// claim is the one claim that a world's ledger gives out.
+type claim struct {
+	err                     error // err is what Begin returns.
+	begun, notRun, finished atomic.Int64
+}
+
+func (l *claim) Claim(context.Context, *mwcall.Call) (mwkernel.Claim, error) { return l, nil }
+func (l *claim) Kept() (mwcall.Kept, bool)                                   { return nil, false }
+
+func (l *claim) Begin() error {
+	l.begun.Add(1)
+	return l.err
+}
+
+func (l *claim) NotRun(context.Context) error {
+	l.notRun.Add(1)
+	return nil
+}
+
+func (l *claim) Finish(context.Context, mwcall.Kept) error {
+	l.finished.Add(1)
+	return nil
+}
+
+// hedger is plug-in "chain" that hedges each call.
+type hedger struct{ mwkernel.RetryPolicy }
+
+// hedgeAfter is the wait before a hedge.
+const hedgeAfter = 2 * time.Millisecond
+
+func (hedger) HedgeAfter(*mwcall.Call) (time.Duration, bool) { return hedgeAfter, true }
+
+func newHedger(env mwkernel.Env) (mwkernel.RetryPolicy, mwregistry.Cleanup, error) {
+	p, end, err := mwkernel.RetryPolicies.Make("chain", env)
+	return hedger{p}, end, err
+}
+
+func init() {
+	mwkernel.RetryPolicies.Register("hedger", newHedger)
+	mwkernel.Memberships.Register("fake", fake(func(f *fakes) mwkernel.Membership { return f }))
+	mwkernel.Configurations.Register("fake", fake(func(f *fakes) mwkernel.Configuration { return f }))
+	mwkernel.Classifiers.Register("fake", fake(func(f *fakes) mwkernel.Classifier { return f }))
+	mwkernel.Admissions.Register("fake", fake(func(f *fakes) mwkernel.Admission { return admission{f.w} }))
+	mwkernel.Ledgers.Register("fake", fake(func(f *fakes) mwkernel.Ledger { return f.w.claim }))
+}
+
+func fake[T any](of func(*fakes) T) mwkernel.Factory[T] {
+	return func(env mwkernel.Env) (T, mwregistry.Cleanup, error) {
+		w, _ := worlds.Load(env.Settings.Place.Region)
+		snap, err := mwconfig.Compile(1, nil)
+		return of(&fakes{w: w.(*world), snap: snap}), nil, err
+	}
+}
--- /dev/null
+++ b/mwlib/mwkernel/path_test.go
@@ -0,0 +1,275 @@
+package mwkernel_test
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// reply is what one backend server answers, after a while.
+type reply struct {
+	after time.Duration
+	head  mwcall.Head
+	code  mwcode.Code
+}
+
+// replies plays backend servers that give rs in the order of the calls.
+func replies(rs ...reply) handler {
+	next := make(chan reply, len(rs))
+	for _, r := range rs {
+		next <- r
+	}
+	return func(ctx context.Context, _ *node, _ *mwcall.Call) (mwcall.Head, error) {
+		r := <-next
+		select {
+		case <-time.After(r.after):
+		case <-ctx.Done():
+			return mwcall.Head{}, mwcode.New(mwcode.Silent)
+		}
+		if r.code != mwcode.OK {
+			return mwcall.Head{}, mwcode.New(r.code)
+		}
+		return r.head, nil
+	}
+}
+
+var (
+	good   = reply{}
+	failed = reply{head: mwcall.Head{Failed: true, Elsewhere: true}}
+	shed   = reply{code: mwcode.Overloaded}
+	lost   = reply{code: mwcode.ConnectionLost}
+)
+
+func slow(r reply) reply {
+	r.after = 5 * hedgeAfter
+	return r
+}
+
+// later replies after the hedge has started.
+func later(r reply) reply {
+	r.after = 2 * hedgeAfter
+	return r
+}
+
+func TestOneCall(t *testing.T) {
+	tests := []struct {
+		name      string
+		policy    mwregistry.Name
+		replies   []reply
+		budget    mwunit.Attempts
+		once      bool // once is a call that must not repeat.
+		code      mwcode.Code
+		failed    bool
+		unused    mwunit.Attempts
+		delivered int64
+	}{
+		{"good", "chain", []reply{good}, 2, false, mwcode.OK, false, 2, 1},
+		{"failure, then good", "chain", []reply{failed, good}, 2, false, mwcode.OK, false, 1, 2},
+		{"lost, then good", "chain", []reply{lost, good}, 2, false, mwcode.OK, false, 1, 2},
+		{"refused, then good", "chain", []reply{shed, good}, 2, false, mwcode.OK, false, 1, 2},
+		{"once: refused, then good", "chain", []reply{shed, good}, 2, true, mwcode.OK, false, 1, 2},
+		{"once: a lost one is not tried again", "chain", []reply{lost}, 2, true, mwcode.ConnectionLost, false, 2, 1},
+		{"once: a failed one is not tried again", "chain", []reply{failed}, 2, true, mwcode.OK, true, 2, 1},
+		{"no budget", "chain", []reply{failed}, 0, false, mwcode.OK, true, 0, 1},
+		{"lost, then refused: may have run", "chain", []reply{lost, shed}, 1, false, mwcode.ConnectionLost, false, 0, 2},
+		{"refused, then lost: may have run", "chain", []reply{shed, lost}, 1, false, mwcode.ConnectionLost, false, 0, 2},
+		{"failure, then refused: may have run", "chain", []reply{failed, shed}, 1, false, mwcode.BackendUnavailable, false, 0, 2},
+		{"no target is left: the cause stays", "chain", []reply{shed, shed, shed}, 5, false, mwcode.Overloaded, false, 2, 3},
+		{"hedge not needed", "hedger", []reply{good}, 2, false, mwcode.OK, false, 2, 1},
+		{"hedge wins", "hedger", []reply{slow(good), good}, 2, false, mwcode.OK, false, 0, 2},
+		{"first wins", "hedger", []reply{later(good), slow(good)}, 2, false, mwcode.OK, false, 1, 2},
+		{"first lost, hedge good", "hedger", []reply{later(lost), slow(good)}, 1, false, mwcode.OK, false, 0, 2},
+		{"first lost, hedge refused: may have run", "hedger", []reply{later(lost), slow(shed)}, 1, false, mwcode.ConnectionLost, false, 0, 2},
+		{"hedge lost, first refused: may have run", "hedger", []reply{slow(shed), lost}, 1, false, mwcode.ConnectionLost, false, 0, 2},
+		{"once: no hedge", "hedger", []reply{slow(good)}, 2, true, mwcode.OK, false, 2, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c, replies(test.replies...))
+				w.class.Retries, w.class.Repeatable = test.budget, !test.once
+				use := func(s *mwsetting.Node) { s.Plugins.Retry = test.policy }
+				for range 3 {
+					w.add("s", use)
+				}
+				ex := w.add("", use).call(context.Background(), mwcall.Call{Service: "s"})
+				time.Sleep(time.Second)
+				c.Check(mwcode.Of(ex.err), qt.Equals, test.code)
+				c.Check(ex.head.Failed, qt.Equals, test.failed)
+				c.Check(ex.head.Unused, qt.Equals, test.unused)
+				c.Check(w.delivered.Load(), qt.Equals, test.delivered)
+				c.Check(w.busy.Load(), qt.Equals, int64(0))
+				c.Check(w.faults.Load(), qt.Equals, int64(0))
+			})
+		})
+	}
+}
+
+func TestDrain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(c, replies(reply{after: time.Second}))
+		n := w.add("s", nil)
+		during := make(chan error, 1)
+		go func() {
+			during <- n.call(context.Background(), mwcall.Call{Service: "s", Origin: mwcall.Peer}).err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		drained := make(chan error, 1)
+		go func() { drained <- n.Drain(context.Background()) }()
+		synctest.Wait()
+		c.Check(n.Draining(), qt.IsTrue)
+		after := n.call(context.Background(), mwcall.Call{Service: "s", Origin: mwcall.Peer, Budget: 2})
+		c.Check(mwcode.Of(after.err), qt.Equals, mwcode.Draining)
+		c.Check(after.head.Code.NotRun(), qt.IsTrue)
+		c.Check(after.head.Unused, qt.Equals, mwunit.Attempts(2))
+		c.Check(<-drained, qt.IsNil)
+		c.Check(<-during, qt.IsNil)
+		c.Check(time.Since(start), qt.Equals, time.Second)
+		c.Check(w.delivered.Load(), qt.Equals, int64(1))
+	})
+}
+
+func TestDrainWaitsForTheLoserOfAHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		stuck := make(chan struct{})
+		var calls atomic.Int64
+		w := newWorld(c, func(context.Context, *node, *mwcall.Call) (mwcall.Head, error) {
+			if calls.Add(1) == 1 {
+				<-stuck
+			}
+			return mwcall.Head{}, nil
+		})
+		use := func(s *mwsetting.Node) { s.Plugins.Retry = "hedger" }
+		w.add("s", use)
+		w.add("s", use)
+		entry := w.add("", use)
+		c.Assert(entry.call(context.Background(), mwcall.Call{Service: "s"}).err, qt.IsNil)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c.Check(errors.Is(entry.Drain(ctx), context.DeadlineExceeded), qt.IsTrue)
+		close(stuck)
+		c.Check(entry.Drain(context.Background()), qt.IsNil)
+	})
+}
+
+func TestClaimedCall(t *testing.T) {
+	tests := []struct {
+		name                           string
+		begin                          error
+		reply                          reply
+		code                           mwcode.Code
+		delivered, begun, notRun, kept int64
+	}{
+		{"runs once", nil, good, mwcode.OK, 1, 1, 0, 1},
+		{"the right is gone", mwcode.New(mwcode.ClaimUnknown), good, mwcode.ClaimUnknown, 0, 1, 0, 0},
+		{"the hand-over failed", nil, reply{code: mwcode.ConnectFailed}, mwcode.ConnectFailed, 1, 1, 1, 0},
+		{"the outcome is unknown", nil, lost, mwcode.ConnectionLost, 1, 1, 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c, replies(test.reply))
+				w.claim = &claim{err: test.begin}
+				w.class.Repeatable = false
+				n := w.add("s", nil)
+				ex := n.call(context.Background(), mwcall.Call{Service: "s", Origin: mwcall.Peer, Key: "k"})
+				c.Check(mwcode.Of(ex.err), qt.Equals, test.code)
+				c.Check(w.delivered.Load(), qt.Equals, test.delivered)
+				c.Check(w.claim.begun.Load(), qt.Equals, test.begun)
+				c.Check(w.claim.notRun.Load(), qt.Equals, test.notRun)
+				c.Check(w.claim.finished.Load(), qt.Equals, test.kept)
+				c.Check(w.busy.Load(), qt.Equals, int64(0))
+			})
+		})
+	}
+}
+
+func TestAnnouncementLapses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(c, replies(good, good))
+		n := w.add("", nil)
+		a := announcement("s")
+		a.TTL = time.Second
+		c.Assert(n.Announce(a), qt.IsNil)
+		peer := mwcall.Call{Service: "s", Origin: mwcall.Peer}
+		time.Sleep(900 * time.Millisecond)
+		c.Check(n.call(context.Background(), peer).err, qt.IsNil)
+		time.Sleep(300 * time.Millisecond)
+		ex := n.call(context.Background(), peer)
+		c.Check(mwcode.Of(ex.err), qt.Equals, mwcode.NoBackend)
+		c.Check(n.Announced(), qt.HasLen, 0)
+	})
+}
+
+func TestCallerThatLeftFreesItsSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(c, replies(reply{after: time.Hour}))
+		w.add("s", nil)
+		entry := w.add("", nil)
+		ctx, cancel := context.WithCancel(context.Background())
+		go entry.call(ctx, mwcall.Call{Service: "s"})
+		synctest.Wait()
+		c.Assert(w.busy.Load(), qt.Equals, int64(1))
+		cancel()
+		synctest.Wait()
+		c.Check(w.busy.Load(), qt.Equals, int64(0))
+	})
+}
+
+func TestCallsBelowInheritFromTheCallAbove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		var below mwcall.Call
+		w := newWorld(c, nil)
+		w.handle = func(ctx context.Context, n *node, up *mwcall.Call) (mwcall.Head, error) {
+			if up.Service == "b" {
+				below = *up
+				return mwcall.Head{}, nil
+			}
+			n.call(ctx, mwcall.Call{Service: "b", Origin: mwcall.Local, Parent: up.Attempt})
+			return mwcall.Head{}, nil
+		}
+		w.add("a", nil)
+		w.add("b", nil)
+		deadline := time.Now().Add(time.Second)
+		root := mwcall.Call{Service: "a", Root: "r", Caller: "shop", Deadline: deadline}
+		w.add("", nil).call(context.Background(), root)
+		c.Check(below.Root, qt.Equals, root.Root)
+		c.Check(below.Caller, qt.Equals, root.Caller)
+		c.Check(below.Depth, qt.Equals, mwunit.Depth(1))
+		c.Check(below.Deadline.Equal(deadline), qt.IsTrue)
+	})
+}
+
+func TestLoopWithinOneNodeEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := newWorld(c, nil)
+		w.handle = func(ctx context.Context, n *node, up *mwcall.Call) (mwcall.Head, error) {
+			ex := n.call(ctx, mwcall.Call{Service: "s", Origin: mwcall.Local, Parent: up.Attempt})
+			return mwcall.Head{}, ex.err
+		}
+		n := w.add("s", nil)
+		ex := n.call(context.Background(), mwcall.Call{Service: "s"})
+		c.Check(mwcode.Of(ex.err), qt.Equals, mwcode.TooDeep)
+		c.Check(w.delivered.Load() <= int64(mwunit.MaxDepth)+1, qt.IsTrue)
+	})
+}
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -101,7 +101,7 @@
 func (r *routing) giveUp(o outcome) {
 	if o.ans != nil {
 		o.ans.Drop()
-		o.h.Code = mwcode.BackendUnavailable
+		o.h.Code, o.h.Failed = mwcode.BackendUnavailable, false
 		o = outcome{h: o.h, err: mwcode.New(mwcode.BackendUnavailable)}
 	}
 	if r.prior.err == nil || r.prior.h.Code.NotRun() {
