--- /dev/null
+++ b/mwlib/mwcluster/cluster.go
@@ -0,0 +1,207 @@
+// Package mwcluster runs the control part of many nodes in one process, over
+// stand-ins for the network and the platform's store: membership and
+// configuration, without calls.
+package mwcluster
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"slices"
+	"sync"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmember"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwversion"
+)
+
+// Cluster is nodes over one network and one store.
+type Cluster struct {
+	Net   *mwmemnet.Network
+	Store *mwfakestore.Store
+	options
+	mu    sync.Mutex
+	nodes []*Node
+}
+
+// options are what Options change.
+type options struct {
+	seed  uint64
+	log   *slog.Logger
+	store func(mwstore.Store, mwmemnet.Place) mwstore.Store
+	peers func(mwkernel.Peers, mwmemnet.Place) mwkernel.Peers
+}
+
+// Option changes how New makes a Cluster.
+type Option = mwoption.Option[options]
+
+// WithSeed sets the seed of the network and the store.
+func WithSeed(n uint64) Option { return func(o *options) { o.seed = n } }
+
+// WithLog sets where the nodes log.
+func WithLog(l *slog.Logger) Option { return func(o *options) { o.log = l } }
+
+// WithStoreOf sets what the node at a place sees of the store.
+func WithStoreOf(f func(mwstore.Store, mwmemnet.Place) mwstore.Store) Option {
+	return func(o *options) { o.store = f }
+}
+
+// WithPeersOf sets what the node at a place sees of the network.
+func WithPeersOf(f func(mwkernel.Peers, mwmemnet.Place) mwkernel.Peers) Option {
+	return func(o *options) { o.peers = f }
+}
+
+// New returns a Cluster without nodes. The returned function ends it.
+func New(opts ...Option) (*Cluster, func()) {
+	o := options{seed: 1, log: slog.New(slog.NewJSONHandler(io.Discard, nil))}
+	mwoption.Apply(&o, opts...)
+	s, end := mwfakestore.New(mwfakestore.WithSeed(o.seed))
+	c := &Cluster{Net: mwmemnet.New(o.seed), Store: s, options: o}
+	return c, func() {
+		for _, n := range c.Nodes() {
+			n.cut()
+		}
+		for _, n := range c.Nodes() {
+			n.End()
+		}
+		end()
+	}
+}
+
+// PlaceOf returns the place of node i of zone z; regions have two zones.
+func PlaceOf(z, i int) mwmemnet.Place {
+	return mwmemnet.Place{
+		Address: mwid.Address(fmt.Sprintf("10.%d.%d.%d:7002", z, i>>8, i&0xff)),
+		Zone:    mwid.ZoneName(fmt.Sprintf("zone-%c", 'a'+z)),
+		Region:  mwid.RegionName(fmt.Sprintf("region-%d", z/2)),
+	}
+}
+
+// Service is the service that each node's backend server announces.
+const Service mwid.ServiceName = "auftrag"
+
+// Node is one life of one node.
+type Node struct {
+	*mwmember.Gossip
+	Config  *mwversion.Fanout
+	ID      mwid.NodeID
+	Place   mwmemnet.Place
+	Peer    *mwmemnet.Peer
+	Metrics *metrics.Set
+	c       *Cluster
+	cut     func()
+	once    sync.Once
+	ends    []func()
+}
+
+// Start starts a new life of the node at p and lets its backend server
+// announce itself.
+func (c *Cluster) Start(p mwmemnet.Place, opts ...mwmember.Option) (*Node, error) {
+	n := &Node{
+		c: c, Place: p, Metrics: metrics.NewSet(),
+		ID: mwid.NewNodeID(p.Address, mwid.NewBootID()),
+	}
+	n.Peer, n.cut = c.Net.Join(p)
+	var store mwstore.Store = c.Store
+	if c.store != nil {
+		store = c.store(store, p)
+	}
+	var peers mwkernel.Peers = n.Peer
+	if c.peers != nil {
+		peers = c.peers(peers, p)
+	}
+	if err := n.run(store, peers, opts); err != nil {
+		n.cut()
+		n.End()
+		return nil, err
+	}
+	n.Announce(mwcall.Announcement{Service: Service, Address: "127.0.0.1:9001", Slots: 90, Connections: 660})
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes = append(c.nodes, n)
+	return n, nil
+}
+
+// run starts the parts of n.
+func (n *Node) run(store mwstore.Store, peers mwkernel.Peers, opts []mwmember.Option) error {
+	opts = append([]mwmember.Option{
+		mwmember.WithPlace(n.Place.Zone, n.Place.Region), mwmember.WithTable(store),
+		mwmember.WithLog(n.c.log), mwmember.WithMetrics(n.Metrics),
+	}, opts...)
+	g, end, err := mwmember.New(n.ID, mwmember.NewTransport(peers), opts...)
+	if err != nil {
+		return err
+	}
+	n.Gossip = g
+	n.ends = append(n.ends, end)
+	n.Config, end, err = mwversion.New(g, peers, mwversion.WithStore(store),
+		mwversion.WithLog(n.c.log), mwversion.WithMetrics(n.Metrics))
+	if err != nil {
+		return err
+	}
+	n.ends = append(n.ends, end)
+	return nil
+}
+
+// End ends n with a farewell to its neighbours.
+func (n *Node) End() {
+	n.once.Do(func() {
+		for _, end := range slices.Backward(n.ends) {
+			end()
+		}
+		n.cut()
+		n.c.mu.Lock()
+		defer n.c.mu.Unlock()
+		n.c.nodes = slices.DeleteFunc(n.c.nodes, func(x *Node) bool { return x == n })
+	})
+}
+
+// Vanish ends n without a farewell, as when its VM fails.
+func (n *Node) Vanish() {
+	n.cut()
+	n.End()
+}
+
+// Nodes returns the nodes that run, in the order of their starts.
+func (c *Cluster) Nodes() []*Node {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.nodes)
+}
+
+// Version returns the version in force at n, 0 for none.
+func (n *Node) Version() mwid.Version {
+	if s := n.Config.Snapshot(); s != nil {
+		return s.Version()
+	}
+	return 0
+}
+
+// State returns the state of the target at id as n knows it.
+func (n *Node) State(id mwid.NodeID) (mwcall.TargetState, bool) {
+	for _, t := range n.Targets(Service) {
+		if t.Node == id {
+			return t.State, true
+		}
+	}
+	return 0, false
+}
+
+// Up returns the number of targets that n knows as up.
+func (n *Node) Up() int {
+	up := 0
+	for _, t := range n.Targets(Service) {
+		if t.State == mwcall.Up {
+			up++
+		}
+	}
+	return up
+}
--- a/mwlib/mwmember/gossip_test.go
+++ b/mwlib/mwmember/gossip_test.go
@@ -7,69 +7,178 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmember"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwset"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
+// away are the faults of a store that can't be reached.
+var away = mwfakestore.Faults{Away: true}
+
 func TestAllFindEachOther(t *testing.T) {
-	run(t, 4, 4, func(cl *cluster) {
-		t.Log(cl.settled(30 * time.Second))
-	})
+	run(t, 4, 4, func(cl *cluster) { cl.settled(30 * time.Second) })
 }
 
 func TestLeaverIsKnownEverywhere(t *testing.T) {
-	run(t, 4, 6, func(cl *cluster) {
+	tests := []struct {
+		name string
+		loss mwunit.Ratio
+		i    int
+	}{
+		{"a node", 0, 7},
+		{"another node", 0, 12},
+		{"with lost messages", 0.1, 7},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 4, 12, func(cl *cluster) {
+				cl.settled(30 * time.Second)
+				cl.Net.SetLost(func(_, _ mwmemnet.Place) bool { return cl.Net.Chance(test.loss) })
+				gone := cl.Nodes()[test.i]
+				gone.Leave()
+				cl.within(3*time.Second, "leaver known", everywhere(cl.Nodes(), isIn(gone.ID, mwcall.Leaving)))
+			})
+		})
+	}
+}
+
+// isIn returns a check that the target at id is in state s.
+func isIn(id mwid.NodeID, s mwcall.TargetState) func(*mwcluster.Node) bool {
+	return func(n *mwcluster.Node) bool {
+		got, ok := n.State(id)
+		return ok && got == s
+	}
+}
+
+// isGone returns a check that there is no target at any of ids.
+func isGone(ids ...mwid.NodeID) func(*mwcluster.Node) bool {
+	set := mwset.New(ids...)
+	return func(n *mwcluster.Node) bool {
+		for _, t := range n.Targets(mwcluster.Service) {
+			if set.Has(t.Node) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func TestDeadNodeIsForgotten(t *testing.T) {
+	run(t, 2, 8, func(cl *cluster) {
 		cl.settled(30 * time.Second)
-		gone := cl.nodes[7]
-		gone.Leave()
-		t.Log(cl.within(3*time.Second, "leaver known", everywhere(cl.nodes, func(x *node) bool {
-			s, ok := x.state(gone.id)
-			return ok && s == mwcall.Leaving
-		})))
+		gone := cl.Nodes()[3]
+		gone.Vanish()
+		cl.within(10*time.Second, "death known", everywhere(cl.Nodes(), isGone(gone.ID)))
 	})
 }
 
-func TestDeadNodeIsForgotten(t *testing.T) {
+func TestEndedNodeIsForgottenAtOnce(t *testing.T) {
 	run(t, 2, 8, func(cl *cluster) {
 		cl.settled(30 * time.Second)
-		gone := cl.nodes[3]
-		gone.cut()
-		rest := append(cl.nodes[:3:3], cl.nodes[4:]...)
-		t.Log(cl.within(15*time.Second, "death known", everywhere(rest, func(x *node) bool {
-			_, ok := x.state(gone.id)
-			return !ok
-		})))
+		gone := cl.Nodes()[3]
+		gone.End()
+		cl.within(time.Second, "end known", everywhere(cl.Nodes(), isGone(gone.ID)))
 	})
 }
 
 func TestReplacedVM(t *testing.T) {
 	run(t, 2, 6, func(cl *cluster) {
 		cl.settled(30 * time.Second)
-		old := cl.nodes[2]
-		old.cut()
-		cl.nodes = append(cl.nodes[:2:2], cl.nodes[3:]...)
-		x := cl.start(old.place)
-		t.Log(cl.within(5*time.Second, "new boot known, old one dead", everywhere(cl.nodes, func(y *node) bool {
-			_, there := y.state(old.id)
-			s, ok := y.state(x.id)
-			return !there && ok && s == mwcall.Up
-		})))
-		old.end()
+		old := cl.Nodes()[2]
+		old.Vanish()
+		x := cl.start(old.Place)
+		cl.within(3*time.Second, "new boot known", everywhere(cl.Nodes(), isIn(x.ID, mwcall.Up)))
+		cl.within(3*time.Second, "old boot dead", everywhere(cl.Nodes(), isGone(old.ID)))
 	})
 }
 
-func TestLostZoneIsMarkedAsAWhole(t *testing.T) {
-	run(t, 3, 5, func(cl *cluster) {
+func TestCutIsMarkedAsAWhole(t *testing.T) {
+	tests := []struct {
+		name string
+		both bool
+		side func(mwmemnet.Place) bool
+		cut  time.Duration
+	}{
+		{"zone", true, inZone("zone-a"), time.Minute},
+		{"region", true, inRegion("region-0"), 15 * time.Minute},
+		{"zone that can't send", false, inZone("zone-a"), time.Minute},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 4, 5, func(cl *cluster) {
+				cl.settled(30 * time.Second)
+				cl.Net.SetLost(cut(test.both, test.side))
+				cl.within(8*time.Second, "the other side is unreachable", everywhere(cl.Nodes(), func(n *mwcluster.Node) bool {
+					return cl.sees(n, test.side)
+				}))
+				time.Sleep(test.cut)
+				cl.c.Assert(everywhere(cl.Nodes(), func(n *mwcluster.Node) bool {
+					return cl.sees(n, test.side) && len(n.Targets(mwcluster.Service)) == len(cl.Nodes())
+				})(), qt.IsTrue)
+				cl.Net.SetLost(nil)
+				cl.settled(5 * time.Second)
+			})
+		})
+	}
+}
+
+// sees tells whether n knows all targets on its own side as up and all
+// others as unreachable.
+func (cl *cluster) sees(n *mwcluster.Node, side func(mwmemnet.Place) bool) bool {
+	for _, x := range cl.Nodes() {
+		want := mwcall.Up
+		if side(n.Place) != side(x.Place) {
+			want = mwcall.Unreachable
+		}
+		if s, ok := n.State(x.ID); !ok || s != want {
+			return false
+		}
+	}
+	return true
+}
+
+func TestRelaysDie(t *testing.T) {
+	run(t, 3, 8, func(cl *cluster) {
 		cl.settled(30 * time.Second)
-		lost, rest := cl.nodes[:5], cl.nodes[5:]
-		cl.net.SetLost(cutBetween(true, inZone(place(0, 0).Zone)))
-		t.Log(cl.within(8*time.Second, "zone unreachable", everywhere(rest, func(x *node) bool {
-			s, ok := x.state(lost[0].id)
-			return ok && s == mwcall.Unreachable
-		})))
-		time.Sleep(time.Minute)
-		for _, x := range rest {
-			cl.c.Assert(x.Targets("auftrag"), qt.HasLen, len(cl.nodes))
+		for _, n := range cl.Nodes() {
+			if n.Place.Zone == "zone-a" && n.Relay() {
+				n.Vanish()
+			}
+		}
+		cl.c.Assert(cl.Nodes(), qt.HasLen, 24-mwmember.RelaysPerZone)
+		cl.settled(15 * time.Second)
+		last := cl.Nodes()[0]
+		last.Leave()
+		cl.within(3*time.Second, "leaver known", everywhere(cl.Nodes(), isIn(last.ID, mwcall.Leaving)))
+	})
+}
+
+func TestStartsWithoutTheTable(t *testing.T) {
+	run(t, 0, 0, func(cl *cluster) {
+		cl.Store.SetFaults(away)
+		first := cl.start(mwcluster.PlaceOf(0, 0))
+		for i := 1; i < 6; i++ {
+			_, err := cl.Start(mwcluster.PlaceOf(i%2, i), mwmember.WithJoin("10.9.9.9:7002", first.Place.Address))
+			cl.c.Assert(err, qt.IsNil)
+		}
+		cl.settled(10 * time.Second)
+	})
+}
+
+func TestHalvesFindTogether(t *testing.T) {
+	run(t, 0, 0, func(cl *cluster) {
+		cl.Store.SetFaults(away)
+		for i := range 8 {
+			_, err := cl.Start(mwcluster.PlaceOf(0, i), mwmember.WithJoin(mwcluster.PlaceOf(0, i%2).Address))
+			cl.c.Assert(err, qt.IsNil)
 		}
-		cl.net.SetLost(nil)
-		t.Log(cl.settled(5 * time.Second))
+		time.Sleep(10 * time.Second)
+		cl.c.Assert(cl.Nodes()[0].Up(), qt.Equals, 4)
+		cl.Store.SetFaults(mwfakestore.Faults{})
+		cl.settled(2 * time.Minute)
 	})
 }
--- a/mwlib/mwmember/join.go
+++ b/mwlib/mwmember/join.go
@@ -148,7 +148,7 @@
 func (g *Gossip) keepEntries(ctx context.Context) []Entry {
 	i := g.rank()
 	alone := g.view.Load().others(g.self) == 0
-	if g.rows == nil || (i >= relaysPerZone && !alone) {
+	if g.rows == nil || (i >= RelaysPerZone && !alone) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
--- a/mwlib/mwmember/news.go
+++ b/mwlib/mwmember/news.go
@@ -64,7 +64,7 @@
 func (g *Gossip) queueRecord(r Record) {
 	g.records.put(r.Node, r, totalSends)
 	g.opinions.drop(r.Node)
-	if r.Zone == g.zone && g.rank() < relaysPerZone {
+	if r.Zone == g.zone && g.rank() < RelaysPerZone {
 		g.exportRecords.put(r.Node, r, 1)
 		g.exportOpinions.drop(r.Node)
 	}
@@ -97,7 +97,7 @@
 
 func (g *Gossip) queueOpinion(o Opinion) {
 	g.opinions.put(o.Node, o, totalSends)
-	if o.Zone == g.zone && g.rank() < relaysPerZone {
+	if o.Zone == g.zone && g.rank() < RelaysPerZone {
 		g.exportOpinions.put(o.Node, o, 1)
 	}
 	signal(g.wake)
--- a/mwlib/mwmember/relay.go
+++ b/mwlib/mwmember/relay.go
@@ -38,14 +38,17 @@
 	return &relay{g: g, failures: make(map[mwid.ZoneName]int)}
 }
 
-// rank returns this node's place among its zone's relays, or relaysPerZone.
+// rank returns this node's place among its zone's relays, or RelaysPerZone.
 func (g *Gossip) rank() int {
 	if i := slices.Index(g.home().relays, g.self); i >= 0 {
 		return i
 	}
-	return relaysPerZone
+	return RelaysPerZone
 }
 
+// Relay tells whether this node is a relay of its zone.
+func (g *Gossip) Relay() bool { return g.rank() < RelaysPerZone }
+
 // run pings other zones in each period.
 func (r *relay) run(ctx context.Context) {
 	t := time.NewTicker(relayPeriod)
@@ -57,14 +60,14 @@
 		case <-t.C:
 		}
 		i := r.g.rank()
-		if i >= relaysPerZone {
+		if i >= RelaysPerZone {
 			r.round, r.said = 0, nil
 			clear(r.failures)
 			continue
 		}
 		r.pingZones(ctx, i)
 		r.round++
-		if r.round > relaysPerZone {
+		if r.round > RelaysPerZone {
 			r.say()
 		}
 		if i == 0 {
@@ -86,7 +89,7 @@
 			continue
 		}
 		failed := r.failed(n)
-		if failed == 0 && (i+r.round)%relaysPerZone != rank {
+		if failed == 0 && (i+r.round)%RelaysPerZone != rank {
 			continue
 		}
 		to := r.contact(z, failed)
@@ -101,7 +104,7 @@
 // silent, any of its nodes.
 func (r *relay) contact(z *zoneView, failed int) mwid.Address {
 	if failed < len(z.relays) {
-		return addressOf(z.relays[(r.round/relaysPerZone+failed)%len(z.relays)])
+		return addressOf(z.relays[(r.round/RelaysPerZone+failed)%len(z.relays)])
 	}
 	return addressOf(z.live[rand.N(len(z.live))])
 }
--- a/mwlib/mwmember/view.go
+++ b/mwlib/mwmember/view.go
@@ -12,11 +12,12 @@
 
 // Counts of the parts that nodes are put into.
 const (
-	topBuckets     = 16
-	bucketsPerTop  = 16
-	buckets        = topBuckets * bucketsPerTop
-	relaysPerZone  = 3
-	relayDuty      = "relay"
+	topBuckets    = 16
+	bucketsPerTop = 16
+	buckets       = topBuckets * bucketsPerTop
+	relayDuty     = "relay"
+	// RelaysPerZone is how many nodes of a zone carry news to other zones.
+	RelaysPerZone  = 3
 	exportersOfOne = 2 // exportersOfOne is how many relays tell one other zone of news.
 )
 
@@ -108,7 +109,7 @@
 	if len(from) == 0 {
 		from = z.live
 	}
-	z.relays = best(relayDuty, from, relaysPerZone)
+	z.relays = best(relayDuty, from, RelaysPerZone)
 }
 
 // best returns the n nodes of from that come first for duty.
--- a/mwlib/mwmemnet/network.go
+++ b/mwlib/mwmemnet/network.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"reflect"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -94,7 +95,7 @@
 // Join returns a new peer at p; it takes the place of an earlier one at the
 // same address. The returned function takes it off the network.
 func (n *Network) Join(p Place) (*Peer, func()) {
-	x := &Peer{net: n, place: p, handlers: mwshard.New[string, reflect.Value](1)}
+	x := &Peer{net: n, place: p, handlers: mwshard.New[Method, reflect.Value](1), traffic: mwshard.New[Method, Traffic](1)}
 	n.peers.Set(p.Address, x)
 	return x, func() {
 		n.peers.Update(p.Address, func(y *Peer, ok bool) (*Peer, bool) { return y, ok && x != y })
@@ -105,11 +106,13 @@
 type Peer struct {
 	net      *Network
 	place    Place
-	handlers *mwshard.Map[string, reflect.Value]
-	mu       sync.Mutex
-	traffic  Traffic
+	handlers *mwshard.Map[Method, reflect.Value]
+	traffic  *mwshard.Map[Method, Traffic]
 }
 
+// Method is the name of a method as net/rpc has it.
+type Method string
+
 // Traffic counts messages and their bytes, without the headers of TCP/IP.
 type Traffic struct {
 	Calls    int
@@ -120,78 +123,103 @@
 
 // Traffic returns the traffic of p so far.
 func (p *Peer) Traffic() Traffic {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.traffic
+	var sum Traffic
+	p.traffic.Range(func(_ Method, t Traffic) bool {
+		sum = sum.add(t)
+		return true
+	})
+	return sum
+}
+
+// TrafficOf returns the traffic of method m so far.
+func (p *Peer) TrafficOf(m Method) Traffic {
+	t, _ := p.traffic.Get(m)
+	return t
+}
+
+// Methods returns the methods that p called or served, in ascending order.
+func (p *Peer) Methods() []Method {
+	var out []Method
+	p.traffic.Range(func(m Method, _ Traffic) bool {
+		out = append(out, m)
+		return true
+	})
+	slices.Sort(out)
+	return out
 }
 
-func (p *Peer) count(t Traffic) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.traffic.Calls += t.Calls
-	p.traffic.Served += t.Served
-	p.traffic.Sent += t.Sent
-	p.traffic.Received += t.Received
+func (t Traffic) add(u Traffic) Traffic {
+	t.Calls += u.Calls
+	t.Served += u.Served
+	t.Sent += u.Sent
+	t.Received += u.Received
+	return t
+}
+
+func (p *Peer) count(m Method, u Traffic) {
+	p.traffic.Update(m, func(t Traffic, _ bool) (Traffic, bool) { return t.add(u), true })
 }
 
 // Handle serves the methods of rcvr under name.
 func (p *Peer) Handle(name string, rcvr any) error {
 	v := reflect.ValueOf(rcvr)
 	for i := range v.NumMethod() {
-		p.handlers.Set(name+"."+v.Type().Method(i).Name, v.Method(i))
+		p.handlers.Set(Method(name+"."+v.Type().Method(i).Name), v.Method(i))
 	}
 	return nil
 }
 
 // Call calls method at addr.
 func (p *Peer) Call(ctx context.Context, addr mwid.Address, method string, req, res any) error {
-	n := p.net
+	n, m := p.net, Method(method)
 	to := Place{Address: addr}
 	q, ok := n.peers.Get(addr)
 	if ok {
 		to = q.place
 	}
 	size, arg := n.codecsOf(method, "request").carry(req)
-	p.count(Traffic{Calls: 1, Sent: size})
-	if err := n.travel(ctx, p.place, to, ok); err != nil {
+	p.count(m, Traffic{Calls: 1, Sent: size})
+	if err := n.travel(ctx, p, to, ok); err != nil {
 		return err
 	}
-	f, ok := q.handlers.Get(method)
+	f, ok := q.handlers.Get(m)
 	if !ok {
 		return mwcode.New(mwcode.Internal, mwcode.Field(method))
 	}
-	q.count(Traffic{Served: 1, Received: size})
+	q.count(m, Traffic{Served: 1, Received: size})
 	out := reflect.New(f.Type().In(1).Elem())
 	if err, _ := f.Call([]reflect.Value{arg, out})[0].Interface().(error); err != nil {
 		return err
 	}
 	size, back := n.codecsOf(method, "reply").carry(out.Interface())
-	q.count(Traffic{Sent: size})
-	if err := n.travel(ctx, to, p.place, true); err != nil {
+	q.count(m, Traffic{Sent: size})
+	if err := n.travel(ctx, q, p.place, true); err != nil {
 		return err
 	}
-	p.count(Traffic{Received: size})
+	p.count(m, Traffic{Received: size})
 	reflect.ValueOf(res).Elem().Set(back.Elem())
 	return nil
 }
 
-// travel waits while a message is on its way.
-func (n *Network) travel(ctx context.Context, from, to Place, there bool) error {
-	if !there || n.loses(from, to) {
+// travel waits while a message of p is on its way. A message that is lost,
+// or whose sender has left the network, never arrives.
+func (n *Network) travel(ctx context.Context, p *Peer, to Place, there bool) error {
+	gone := mwcode.New(mwcode.Unreachable, mwcode.Field(string(to.Address)))
+	if x, ok := n.peers.Get(p.place.Address); !ok || x != p {
+		there = false
+	}
+	if !there || n.loses(p.place, to) {
 		<-ctx.Done()
-		return mwcode.New(mwcode.Unreachable, mwcode.Field(string(to.Address)))
+		return gone
 	}
-	t := time.NewTimer(n.latency(from, to))
+	t := time.NewTimer(n.latency(p.place, to))
 	defer t.Stop()
 	select {
 	case <-t.C:
+		return nil
 	case <-ctx.Done():
-		return mwcode.New(mwcode.Unreachable, mwcode.Field(string(to.Address)))
+		return gone
 	}
-	if x, ok := n.peers.Get(from.Address); !ok || x.place != from {
-		<-ctx.Done() // The sender is gone.
-	}
-	return nil
 }
 
 func (n *Network) codecsOf(method, part string) *codecs {
--- a/mwlib/mwoperator/operator_test.go
+++ b/mwlib/mwoperator/operator_test.go
@@ -12,8 +12,8 @@
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakestore"
 	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwmemstore"
 	"mustardwheel.example/mwlib/mwoperator"
 	"mustardwheel.example/mwlib/mwstore"
 )
@@ -26,6 +26,13 @@
 	}
 }
 
+// newStore returns an empty store that ends with the test.
+func newStore(t *testing.T) *mwfakestore.Store {
+	s, end := mwfakestore.New()
+	t.Cleanup(end)
+	return s
+}
+
 func edit(name mwconfig.DocumentName, n int, expected mwid.Revision) []mwoperator.Edit {
 	return []mwoperator.Edit{{Document: policy(name, n), Expected: expected}}
 }
@@ -33,7 +40,7 @@
 func TestApplyAndRead(t *testing.T) {
 	c := qt.New(t)
 	ctx := context.Background()
-	o := mwoperator.New(mwmemstore.New())
+	o := mwoperator.New(newStore(t))
 	r, err := o.Apply(ctx, "op-1", "eva", edit("p", 1, 0))
 	c.Assert(err, qt.IsNil)
 	c.Assert(r.Version, qt.Equals, mwid.Version(1))
@@ -76,7 +83,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
-			o := mwoperator.New(mwmemstore.New())
+			o := mwoperator.New(newStore(t))
 			_, err := o.Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
 			c.Assert(err, qt.IsNil)
 			_, err = o.Apply(t.Context(), test.op, "eva", test.edits)
@@ -89,35 +96,25 @@
 	}
 }
 
-// commits returns a Fault that gives the first commits the outcomes of os.
-func commits(os ...mwmemstore.Outcome) mwmemstore.Fault {
-	n := 0
-	return func(_ context.Context, op mwmemstore.Op, _ mwstore.Key) mwmemstore.Outcome {
-		if op != mwmemstore.Commit || n >= len(os) {
-			return mwmemstore.Done
-		}
-		n++
-		return os[n-1]
-	}
-}
-
 func TestLostAnswers(t *testing.T) {
 	tests := []struct {
-		name  string
-		fault mwmemstore.Fault
+		name string
+		lost []int // lost is how many answers are lost before each change.
 	}{
-		{"lost once", commits(mwmemstore.Lost)},
-		{"lost on the second change", commits(mwmemstore.Done, mwmemstore.Lost)},
-		{"lost on both", commits(mwmemstore.Lost, mwmemstore.Lost)},
+		{"lost once", []int{1, 0}},
+		{"lost on the second change", []int{0, 1}},
+		{"lost on both", []int{1, 1}},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				s := mwmemstore.New(mwmemstore.WithFault(test.fault))
+				s := newStore(t)
 				o := mwoperator.New(s)
+				s.Lose(mwfakestore.Commit, test.lost[0])
 				first, err := o.Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
 				c.Assert(err, qt.IsNil)
+				s.Lose(mwfakestore.Commit, test.lost[1])
 				second, err := o.Apply(t.Context(), "op-2", "eva", edit("p", 2, first.Revision))
 				c.Assert(err, qt.IsNil)
 				c.Assert(second.Version, qt.Equals, mwid.Version(2))
@@ -129,25 +126,27 @@
 	}
 }
 
+// goneAfter is a store that is away as soon as something was committed.
+type goneAfter struct {
+	*mwfakestore.Store
+}
+
+// Commit commits and goes away.
+func (s goneAfter) Commit(ctx context.Context, t mwstore.Txn) (mwstore.Receipt, error) {
+	r, err := s.Store.Commit(ctx, t)
+	s.SetFaults(mwfakestore.Faults{Away: true})
+	return r, err
+}
+
 func TestUnknownIsNotDenied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
-		lost := false
-		s := mwmemstore.New(mwmemstore.WithFault(func(_ context.Context, op mwmemstore.Op, _ mwstore.Key) mwmemstore.Outcome {
-			if lost {
-				return mwmemstore.Away
-			}
-			if op == mwmemstore.Commit {
-				lost = true
-				return mwmemstore.Lost
-			}
-			return mwmemstore.Done
-		}))
-		o := mwoperator.New(s)
-		_, err := o.Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
+		s := newStore(t)
+		s.Lose(mwfakestore.Commit, 1)
+		_, err := mwoperator.New(goneAfter{s}).Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
 		c.Assert(mwcode.Of(err), qt.Equals, mwcode.StoreUnknown)
-		s.SetFault(nil)
-		r, err := o.Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
+		s.SetFaults(mwfakestore.Faults{})
+		r, err := mwoperator.New(s).Apply(t.Context(), "op-1", "eva", edit("p", 1, 0))
 		c.Assert(err, qt.IsNil)
 		c.Assert(r.Version, qt.Equals, mwid.Version(1))
 	})
@@ -168,7 +167,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				o := mwoperator.New(mwmemstore.New())
+				o := mwoperator.New(newStore(t))
 				errs := make([]error, 6)
 				var g errgroup.Group
 				for i := range errs {
@@ -201,7 +200,7 @@
 
 func TestSnapshotObject(t *testing.T) {
 	c := qt.New(t)
-	s := mwmemstore.New()
+	s := newStore(t)
 	o := mwoperator.New(s, mwoperator.WithSnapshotEvery(2))
 	for i, name := range []mwconfig.DocumentName{"a", "b", "c"} {
 		_, err := o.Apply(t.Context(), mwid.NewOperationID(), "eva", edit(name, i, 0))
--- /dev/null
+++ b/mwlib/mwversion/cluster_test.go
@@ -0,0 +1,114 @@
+package mwversion_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmember"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwoperator"
+)
+
+// cluster is a Cluster under test with an operator.
+type cluster struct {
+	*mwcluster.Cluster
+	t  *testing.T
+	c  *qt.C
+	op *mwoperator.Operator
+}
+
+// away are the faults of a store that can't be reached.
+var away = mwfakestore.Faults{Away: true}
+
+// run runs f in virtual time on a cluster of zones with n nodes each.
+func run(t *testing.T, zones, n int, f func(*cluster), opts ...mwcluster.Option) {
+	synctest.Test(t, func(t *testing.T) {
+		x, end := mwcluster.New(opts...)
+		defer end()
+		cl := &cluster{x, t, qt.New(t), mwoperator.New(x.Store)}
+		for z := range zones {
+			for i := range n {
+				cl.start(mwcluster.PlaceOf(z, i))
+			}
+		}
+		time.Sleep(3 * time.Second)
+		f(cl)
+	})
+}
+
+// start starts a new life of the node at p; it knows an address in each of
+// the first zones.
+func (cl *cluster) start(p mwmemnet.Place) *mwcluster.Node {
+	n, err := cl.Start(p, mwmember.WithJoin(
+		mwcluster.PlaceOf(0, 0).Address, mwcluster.PlaceOf(1, 1).Address))
+	cl.c.Assert(err, qt.IsNil)
+	return n
+}
+
+// apply lets an operator make a change and returns its version.
+func (cl *cluster) apply(name mwconfig.DocumentName, importance int) mwid.Version {
+	cl.t.Helper()
+	ctx := cl.t.Context()
+	e := mwoperator.Edit{Document: mwconfig.Document{
+		Kind: mwconfig.KindPolicy, Name: name,
+		Spec: json.RawMessage(fmt.Sprintf(`{"Importance":%d}`, importance)),
+	}}
+	if s, err := cl.op.Get(ctx, mwconfig.KindPolicy, name); err == nil {
+		e.Expected = s.Revision
+	}
+	r, err := cl.op.Apply(ctx, mwid.NewOperationID(), "eva", []mwoperator.Edit{e})
+	cl.c.Assert(err, qt.IsNil)
+	return r.Version
+}
+
+// step is the time between two looks of within.
+const step = 50 * time.Millisecond
+
+// within waits until v is in force at all of ns; it fails the test where that
+// takes longer than limit.
+func (cl *cluster) within(limit time.Duration, v mwid.Version, ns []*mwcluster.Node) {
+	cl.t.Helper()
+	start := time.Now()
+	for !inForce(v, ns) {
+		if time.Since(start) > limit {
+			cl.t.Fatalf("version %d is not in force at all %d nodes within %v", v, len(ns), limit)
+		}
+		time.Sleep(step)
+	}
+	cl.t.Logf("version %d is in force at %d nodes after %v", v, len(ns), time.Since(start))
+}
+
+func inForce(v mwid.Version, ns []*mwcluster.Node) bool {
+	for _, n := range ns {
+		if n.Version() < v {
+			return false
+		}
+	}
+	return true
+}
+
+// cut loses all messages between zone z and others.
+func cut(z mwid.ZoneName) func(from, to mwmemnet.Place) bool {
+	return func(from, to mwmemnet.Place) bool { return (from.Zone == z) != (to.Zone == z) }
+}
+
+// split returns the nodes of zone z and the others.
+func (cl *cluster) split(z mwid.ZoneName) (in, out []*mwcluster.Node) {
+	for _, n := range cl.Nodes() {
+		if n.Place.Zone == z {
+			in = append(in, n)
+			continue
+		}
+		out = append(out, n)
+	}
+	return in, out
+}
--- /dev/null
+++ b/mwlib/mwversion/fanout_test.go
@@ -0,0 +1,183 @@
+package mwversion_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// limit is the time in which a change is in force everywhere.
+const limit = 5 * time.Second
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	run(t, 4, 6, func(cl *cluster) {
+		for i := range 3 {
+			cl.within(limit, cl.apply("p", i), cl.Nodes())
+		}
+	})
+}
+
+// awayFrom is a store that one zone can't reach while cut is true.
+type awayFrom struct {
+	mwstore.Store
+	cut *bool
+}
+
+// Get reads a row where the store can be reached.
+func (s awayFrom) Get(ctx context.Context, k mwstore.Key) (mwstore.Row, error) {
+	if *s.cut {
+		return mwstore.Row{}, mwcode.New(mwcode.StoreAway)
+	}
+	return s.Store.Get(ctx, k)
+}
+
+func TestZoneIsCutOffAndRejoins(t *testing.T) {
+	tests := []struct {
+		name  string
+		store bool // store tells that the zone is cut off from the store too.
+	}{
+		{"from other zones", false},
+		{"from other zones and the store", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			isCut := false
+			run(t, 4, 5, func(cl *cluster) {
+				cl.within(limit, cl.apply("p", 1), cl.Nodes())
+				isCut = test.store
+				cl.Net.SetLost(cut("zone-c"))
+				time.Sleep(time.Minute)
+				in, out := cl.split("zone-c")
+				v := cl.apply("p", 2)
+				cl.within(limit, v, out)
+				time.Sleep(limit)
+				cl.c.Assert(inForce(v, in), qt.Equals, !test.store)
+				cl.Net.SetLost(nil)
+				cl.within(limit, v, in)
+			}, mwcluster.WithStoreOf(func(s mwstore.Store, p mwmemnet.Place) mwstore.Store {
+				if p.Zone == "zone-c" {
+					return awayFrom{s, &isCut}
+				}
+				return s
+			}))
+		})
+	}
+}
+
+func TestStoreIsAwayForLong(t *testing.T) {
+	run(t, 2, 5, func(cl *cluster) {
+		v := cl.apply("p", 1)
+		cl.within(limit, v, cl.Nodes())
+		cl.Store.SetFaults(away)
+		time.Sleep(10 * time.Minute)
+		cl.c.Assert(inForce(v, cl.Nodes()), qt.IsTrue)
+		for _, n := range cl.Nodes()[:9] { // All but one are replaced, one after the other.
+			n.Vanish()
+			x := cl.start(n.Place)
+			cl.within(limit, v, []*mwcluster.Node{x})
+		}
+		cl.Store.SetFaults(mwfakestore.Faults{})
+		cl.within(limit, cl.apply("p", 2), cl.Nodes())
+	})
+}
+
+func TestNoSourceGivesNoSnapshot(t *testing.T) {
+	run(t, 0, 0, func(cl *cluster) {
+		cl.apply("p", 1)
+		cl.Store.SetFaults(away)
+		for i := range 6 {
+			cl.start(mwcluster.PlaceOf(0, i))
+		}
+		time.Sleep(time.Minute)
+		for _, n := range cl.Nodes() {
+			cl.c.Assert(n.Config.Snapshot(), qt.IsNil)
+		}
+		cl.Store.SetFaults(mwfakestore.Faults{})
+		cl.within(limit, 1, cl.Nodes())
+	})
+}
+
+// count returns a counter of n.
+func count(n *mwcluster.Node, name string) uint64 {
+	return n.Metrics.GetOrCreateCounter(name).Get()
+}
+
+func TestStaleReadsAreCounted(t *testing.T) {
+	run(t, 1, 1, func(cl *cluster) {
+		n := cl.Nodes()[0]
+		cl.apply("p", 1)
+		cl.within(limit, cl.apply("p", 2), cl.Nodes())
+		cl.Store.SetFaults(mwfakestore.Faults{Stale: 1})
+		time.Sleep(limit)
+		cl.c.Assert(n.Version(), qt.Equals, mwid.Version(2))
+		cl.c.Assert(count(n, `mw_config_stale_reads_total{origin="store"}`) > 0, qt.IsTrue)
+	})
+}
+
+func TestBadRowsReplaceNothing(t *testing.T) {
+	tests := []struct {
+		name string
+		rows map[mwstore.Key]string
+		want mwid.Version
+	}{
+		{"change can't be decoded", map[mwstore.Key]string{mwconfig.ChangeKey(2): `{"Version`}, 3},
+		{"change has another version", map[mwstore.Key]string{mwconfig.ChangeKey(2): `{"Version":7}`}, 3},
+		{"change doesn't compile", map[mwstore.Key]string{
+			mwconfig.ChangeKey(2): `{"Version":2,"Items":[{"Document":{"Kind":"Policy","Name":"q","Spec":{"Importance":500}}}]}`,
+		}, 3},
+		{"document can't be decoded either", map[mwstore.Key]string{
+			mwconfig.ChangeKey(2):                          `{"Version`,
+			mwconfig.DocumentKey(mwconfig.KindPolicy, "p"): `{`,
+		}, 1},
+		{"version can't be decoded", map[mwstore.Key]string{mwconfig.VersionKey: `{`}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 2, 3, func(cl *cluster) {
+				cl.within(limit, cl.apply("p", 1), cl.Nodes())
+				cl.Net.SetLost(func(_, _ mwmemnet.Place) bool { return true })
+				cl.Store.SetFaults(away)
+				time.Sleep(limit)
+				cl.Store.SetFaults(mwfakestore.Faults{})
+				cl.apply("p", 2)
+				cl.apply("p", 3)
+				for k, v := range test.rows {
+					_, err := cl.Store.Commit(t.Context(), mwstore.Txn{Writes: []mwstore.Write{{Key: k, Value: []byte(v)}}})
+					cl.c.Assert(err, qt.IsNil)
+				}
+				cl.Net.SetLost(nil)
+				time.Sleep(2 * limit)
+				for _, n := range cl.Nodes() {
+					cl.c.Check(n.Version(), qt.Equals, test.want)
+				}
+			})
+		})
+	}
+}
+
+func TestLongLogAndSnapshot(t *testing.T) {
+	run(t, 0, 0, func(cl *cluster) {
+		var v mwid.Version
+		for i := range 300 {
+			v = cl.apply(mwconfig.DocumentName(fmt.Sprint("p", i%7)), i%100)
+		}
+		x := cl.start(mwcluster.PlaceOf(0, 0))
+		cl.within(limit, v, []*mwcluster.Node{x})
+		cl.c.Assert(x.Config.Snapshot().Documents(), qt.HasLen, 7)
+		cl.c.Assert(strings.Contains(x.Config.Snapshot().String(), "7 documents"), qt.IsTrue)
+		y := cl.start(mwcluster.PlaceOf(1, 0))
+		cl.within(limit, v, []*mwcluster.Node{y})
+	})
+}
--- /dev/null
+++ b/mwlib/mwversion/install.go
@@ -0,0 +1,122 @@
+package mwversion
+
+import (
+	"fmt"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// origin tells where a configuration came from.
+type origin string
+
+// Origins.
+const (
+	fromStore origin = "store"
+	fromPeer  origin = "peer"
+)
+
+// keptChanges is how many changes a node keeps for others to fetch.
+const keptChanges = 64
+
+// version returns the version in force, 0 for none.
+func (f *Fanout) version() mwid.Version {
+	if s := f.cur.Load(); s != nil {
+		return s.Version()
+	}
+	return 0
+}
+
+// installWhole puts w in force. An error tells that it was not, and then
+// what was in force still is.
+func (f *Fanout) installWhole(o origin, w mwconfig.Whole) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.replace(o, w.Version, w.Documents); err != nil {
+		return err
+	}
+	f.recent = nil
+	return nil
+}
+
+// installChanges puts cs, in order of version, in force on top of what is.
+// Changes that are in force already are passed over.
+func (f *Fanout) installChanges(o origin, cs []mwconfig.Change) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.version()
+	var docs []mwconfig.Document
+	if s := f.cur.Load(); s != nil {
+		docs = s.Documents()
+	}
+	var news []mwconfig.Change
+	for _, c := range cs {
+		if c.Version <= v {
+			continue
+		}
+		if c.Version != v+1 {
+			return f.refuse(o, c.Version, mwcode.New(mwcode.BadDocument,
+				mwcode.Field(string(mwconfig.ChangeKey(c.Version))),
+				mwcode.Expected(fmt.Sprintf("version %d", v+1))))
+		}
+		v, docs = c.Version, c.Apply(docs)
+		news = append(news, forPeers(c))
+	}
+	if len(news) == 0 {
+		return nil
+	}
+	if err := f.replace(o, v, docs); err != nil {
+		return err
+	}
+	f.recent = append(f.recent, news...)
+	f.recent = f.recent[max(0, len(f.recent)-keptChanges):]
+	return nil
+}
+
+// forPeers returns c without what only the audit trail needs.
+func forPeers(c mwconfig.Change) mwconfig.Change {
+	items := make([]mwconfig.Item, len(c.Items))
+	for i, it := range c.Items {
+		it.Before = nil
+		items[i] = it
+	}
+	c.Items = items
+	return c
+}
+
+// replace replaces what is in force by docs at v, where v is higher and docs
+// compile. It is the only place that does, and f.mu is held.
+func (f *Fanout) replace(o origin, v mwid.Version, docs []mwconfig.Document) error {
+	if now := f.version(); v <= now {
+		return f.stale(o, v, now)
+	}
+	s, err := mwconfig.Compile(v, docs)
+	if err != nil {
+		return f.refuse(o, v, err)
+	}
+	f.cur.Store(s)
+	f.stat.installed(o, v)
+	f.member.SetVersion(v)
+	f.log.Info("configuration in force", "Version", v, "Origin", o)
+	return nil
+}
+
+// stale counts and logs a source that offered v while now is in force.
+func (f *Fanout) stale(o origin, v, now mwid.Version) error {
+	err := mwcode.New(mwcode.StaleRead, mwcode.Expected(fmt.Sprintf("a version above %d, not %d", now, v)))
+	if v < now {
+		f.stat.stale(o)
+		f.log.Warn("stale configuration passed over", "Code", int(mwcode.StaleRead),
+			"Version", v, "InForce", now, "Origin", o)
+	}
+	return err
+}
+
+// refuse counts and logs a configuration that can't be put in force.
+func (f *Fanout) refuse(o origin, v mwid.Version, err error) error {
+	f.stat.refused(o)
+	f.log.Error("configuration refused", "Code", int(mwcode.Of(err)),
+		"Version", v, "InForce", f.version(), "Origin", o, "Error", err)
+	return err
+}
--- /dev/null
+++ b/mwlib/mwversion/plugin.go
@@ -0,0 +1,31 @@
+package mwversion
+
+import (
+	"errors"
+
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+)
+
+// Name is the name under which the plug-in is registered.
+const Name mwregistry.Name = "fanout"
+
+var errIncomplete = errors.New("mwversion: fanout needs a membership and a way to call peers")
+
+func init() { mwkernel.Configurations.Register(Name, fromEnv) }
+
+// fromEnv makes a Fanout from the settings.
+func fromEnv(env mwkernel.Env) (mwkernel.Configuration, mwregistry.Cleanup, error) {
+	if env.Membership == nil || env.Peers == nil {
+		return nil, nil, errIncomplete
+	}
+	opts := []Option{WithLog(env.Log), WithMetrics(env.Metrics)}
+	if env.Store != nil {
+		opts = append(opts, WithStore(env.Store))
+	}
+	f, end, err := New(env.Membership, env.Peers, opts...)
+	if err != nil {
+		return nil, nil, err
+	}
+	return f, end, nil
+}
--- /dev/null
+++ b/mwlib/mwversion/poll.go
@@ -0,0 +1,216 @@
+package mwversion
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// How the table is polled.
+const (
+	pollDuty       = "poll"
+	pollersPerZone = 3
+	pollTimeout    = 2 * time.Second
+	pageRows       = 128
+	// farBehind is the number of changes above which the snapshot object is
+	// read before the log.
+	farBehind = 256
+)
+
+// ranker is a membership that tells this node's place for a duty among the
+// nodes of its zone.
+type ranker interface{ Rank(duty string) int }
+
+// onDuty tells whether this node polls.
+func (f *Fanout) onDuty() bool {
+	r, ok := f.member.(ranker)
+	return !ok || r.Rank(pollDuty) < pollersPerZone
+}
+
+// pollInTurn reads the version in each period while on duty. The first read
+// comes after a random part of the period, so that nodes that start together
+// know by then which of them polls.
+func (f *Fanout) pollInTurn(ctx context.Context) {
+	if !sleep(ctx, rand.N(f.poll)+1) {
+		return
+	}
+	t := time.NewTicker(f.poll)
+	defer t.Stop()
+	for {
+		if f.onDuty() {
+			f.pollOnce(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+// pollOnce reads the version and, where it is higher, what it consists of.
+func (f *Fanout) pollOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	f.stat.read(fromStore)
+	r, v, err := f.readVersion(ctx)
+	if err != nil {
+		f.stat.failed(fromStore)
+		f.log.Warn("version not read", "Code", int(mwcode.Of(err)), "Error", err)
+		return
+	}
+	now := f.version()
+	if v < now {
+		f.noteStale(v, now)
+		return
+	}
+	if v > now {
+		f.readUpTo(ctx, v, r)
+	}
+}
+
+// noteStale notes a stale read of the version.
+func (f *Fanout) noteStale(v, now mwid.Version) {
+	if err := f.stale(fromStore, v, now); err != nil {
+		f.log.Debug("stale read", "Error", err)
+	}
+}
+
+// readVersion reads the row of the version; a missing row stands for 0.
+func (f *Fanout) readVersion(ctx context.Context) (mwid.Revision, mwid.Version, error) {
+	r, err := f.store.Get(ctx, mwconfig.VersionKey)
+	if mwcode.Of(err) == mwcode.NotFound {
+		return 0, 0, nil
+	}
+	if err != nil {
+		return 0, 0, err
+	}
+	v, err := decode[mwconfig.VersionRow](r.Key, r.Value)
+	return r.Revision, v.Version, err
+}
+
+// decode decodes the value of a row or object.
+func decode[T any](k mwstore.Key, b []byte) (T, error) {
+	var v T
+	if err := json.Unmarshal(b, &v); err != nil {
+		return v, mwcode.New(mwcode.BadDocument, mwcode.Field(string(k)), mwcode.Wrap(err))
+	}
+	return v, nil
+}
+
+// readUpTo reads what leads to v: the log of changes, after the snapshot
+// object where that is far off. Where the log can't be used, it reads the
+// documents themselves.
+func (f *Fanout) readUpTo(ctx context.Context, v mwid.Version, r mwid.Revision) {
+	if now := f.version(); now == 0 || v-now > farBehind {
+		f.readSnapshot(ctx)
+	}
+	err := f.readLog(ctx, v)
+	if err == nil || isAway(err) {
+		return
+	}
+	if err := f.readDocuments(ctx, v, r); err != nil {
+		f.log.Warn("documents not read", "Code", int(mwcode.Of(err)), "Error", err)
+	}
+}
+
+// isAway tells whether err says that the store gave no answer.
+func isAway(err error) bool {
+	c := mwcode.Of(err)
+	return c == mwcode.StoreAway || c == mwcode.StoreSlow
+}
+
+// readSnapshot puts the snapshot object in force where it is newer.
+func (f *Fanout) readSnapshot(ctx context.Context) {
+	b, err := f.store.GetObject(ctx, mwconfig.SnapshotKey)
+	if err != nil {
+		f.log.Debug("no snapshot", "Code", int(mwcode.Of(err)), "Error", err)
+		return
+	}
+	w, err := decode[mwconfig.Whole](mwconfig.SnapshotKey, b)
+	if err == nil && w.Version > f.version() {
+		err = f.installWhole(fromStore, w)
+	}
+	if err != nil {
+		f.log.Warn("snapshot not used", "Code", int(mwcode.Of(err)), "Error", err)
+	}
+}
+
+// readLog puts the changes up to v in force.
+func (f *Fanout) readLog(ctx context.Context, v mwid.Version) error {
+	for f.version() < v {
+		now := f.version()
+		rows, err := f.store.Scan(ctx, mwconfig.ChangePrefix, mwconfig.ChangeKey(now), pageRows)
+		if err != nil {
+			return err
+		}
+		cs, bad := decodeChanges(rows)
+		if err := f.installChanges(fromStore, cs); err != nil {
+			return err
+		}
+		if bad != nil {
+			return f.refuse(fromStore, f.version()+1, bad)
+		}
+		if f.version() == now {
+			return mwcode.New(mwcode.StaleRead, mwcode.Field(string(mwconfig.ChangePrefix)))
+		}
+	}
+	return nil
+}
+
+// decodeChanges decodes rows up to the first bad one, whose error it
+// returns.
+func decodeChanges(rows []mwstore.Row) ([]mwconfig.Change, error) {
+	var out []mwconfig.Change
+	for _, r := range rows {
+		c, err := decode[mwconfig.Change](r.Key, r.Value)
+		if err == nil && mwconfig.ChangeKey(c.Version) != r.Key {
+			err = mwcode.New(mwcode.BadDocument, mwcode.Field(string(r.Key)),
+				mwcode.Expected("the version of its key"))
+		}
+		if err != nil {
+			return out, err
+		}
+		out = append(out, c)
+	}
+	return out, nil
+}
+
+// readDocuments puts the documents of v in force, as they stand in the
+// table. They belong together where the row of the version is still at
+// revision r after they were read.
+func (f *Fanout) readDocuments(ctx context.Context, v mwid.Version, r mwid.Revision) error {
+	w := mwconfig.Whole{Version: v}
+	var after mwstore.Key
+	for {
+		rows, err := f.store.Scan(ctx, mwconfig.DocumentPrefix, after, pageRows)
+		if err != nil {
+			return err
+		}
+		for _, x := range rows {
+			d, err := decode[mwconfig.Document](x.Key, x.Value)
+			if err != nil {
+				return f.refuse(fromStore, v, err)
+			}
+			w.Documents = append(w.Documents, d)
+			after = x.Key
+		}
+		if len(rows) < pageRows {
+			break
+		}
+	}
+	now, _, err := f.readVersion(ctx)
+	if err != nil {
+		return err
+	}
+	if now != r {
+		return mwcode.New(mwcode.Conflict, mwcode.Field(string(mwconfig.VersionKey)))
+	}
+	return f.installWhole(fromStore, w)
+}
