--- a/mwlib/mwfakeserver/run.go
+++ b/mwlib/mwfakeserver/run.go
@@ -10,11 +10,16 @@
 	"mustardwheel.example/mwlib/mwunit"
 )
 
+// WorkHeader is the answer's header that tells how long the work itself took,
+// without the calls that it made.
+const WorkHeader = "X-Work-Time"
+
 // run does the work of one call in a slot.
 func (b *Backend) run(ctx context.Context, w http.ResponseWriter, r *http.Request) {
 	c := match(b.set.classes, r.URL.Path)
 	d := newDraw(b.set.seed, requestID(r), c)
 	took := scale(d.time, b.speed.now())
+	w.Header().Set(WorkHeader, took.String())
 	if c.Streamed && !d.failed {
 		b.stream(ctx, w, c.Body, took)
 		return
