--- /dev/null
+++ b/mwbench/internal/mwtestbed/bed.go
@@ -0,0 +1,279 @@
+// Package mwtestbed runs real nodes on loopback with a stand-in backend
+// server behind each and one stand-in store, in one process.
+package mwtestbed
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwprofile"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakeserver"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwhost"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoperator"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Limits of the platform's store: reads and writes a second.
+const (
+	storeReads  mwunit.PerSecond = 2000
+	storeWrites mwunit.PerSecond = 400
+)
+
+// Service is one service of a Bed.
+type Service struct {
+	mwprofile.Service
+	// Classes are the classes of work of its backend servers.
+	Classes []mwfakeserver.Class
+	// Queue is the length of a backend server's own queue.
+	Queue mwunit.Slots
+	// Options are further options of its backend servers.
+	Options []mwfakeserver.Option
+}
+
+// Spec says what a Bed has.
+type Spec struct {
+	Seed     mwfakeserver.Seed
+	Zones    []mwprofile.Zone
+	Services []Service
+	Works    []Work
+	// Tune changes the settings of every node.
+	Tune func(*mwsetting.Node)
+	// Log takes what nodes log; nil drops it.
+	Log *slog.Logger
+}
+
+// Target is one backend server with its node.
+type Target struct {
+	Host   *mwhost.Host
+	Server *mwfakeserver.Server
+	// Stop ends both at once.
+	Stop func()
+}
+
+// Bed is what runs: a node for each backend server, spread over the zones.
+type Bed struct {
+	spec   Spec
+	log    *slog.Logger
+	store  *mwfakestore.Store
+	record *mwfakeserver.Record
+	join   []mwid.Address
+	// targets are those of each service, in the order of Spec.Services. One
+	// goroutine at a time changes them.
+	targets map[mwid.ServiceName][]*Target
+	version mwid.Version
+}
+
+// readyTimeout bounds the wait until all nodes know all targets.
+const readyTimeout = 15 * time.Second
+
+// New starts what spec says, and returns once every node knows every target
+// and the configuration is in force. The returned function ends all.
+func New(ctx context.Context, spec Spec) (*Bed, func(), error) {
+	store, endStore := mwfakestore.New(mwfakestore.WithSeed(uint64(spec.Seed)),
+		mwfakestore.WithReads(storeReads), mwfakestore.WithWrites(storeWrites))
+	b := &Bed{
+		spec: spec, log: spec.Log, store: store, record: mwfakeserver.NewRecord(),
+		targets: make(map[mwid.ServiceName][]*Target),
+	}
+	if b.log == nil {
+		b.log = slog.New(slog.DiscardHandler)
+	}
+	end := func() {
+		b.stopAll()
+		endStore()
+	}
+	if err := b.start(ctx); err != nil {
+		end()
+		return nil, nil, err
+	}
+	return b, end, nil
+}
+
+func (b *Bed) start(ctx context.Context) error {
+	if err := b.Apply(ctx, b.spec.Works...); err != nil {
+		return err
+	}
+	for _, s := range b.spec.Services {
+		for i := range s.Targets {
+			if _, err := b.Start(s, i); err != nil {
+				return err
+			}
+		}
+	}
+	return b.AwaitReady(ctx)
+}
+
+// Apply writes the documents of ws to the store, in place of those of the
+// same names.
+func (b *Bed) Apply(ctx context.Context, ws ...Work) error {
+	if len(ws) == 0 {
+		return nil
+	}
+	docs, err := documents(ws)
+	if err != nil {
+		return err
+	}
+	op := mwoperator.New(b.store, mwoperator.WithLog(b.log))
+	stored, err := op.List(ctx, "")
+	if err != nil {
+		return fmt.Errorf("testbed: %w", err)
+	}
+	r, err := op.Apply(ctx, mwid.NewOperationID(), "mwbench", edits(docs, stored))
+	if err != nil {
+		return fmt.Errorf("testbed: %w", err)
+	}
+	b.version = r.Version
+	return nil
+}
+
+func edits(docs []mwconfig.Document, stored []mwoperator.Stored) []mwoperator.Edit {
+	out := make([]mwoperator.Edit, len(docs))
+	for i, d := range docs {
+		out[i].Document = d
+		for _, s := range stored {
+			if s.Document.Kind == d.Kind && s.Document.Name == d.Name {
+				out[i].Expected = s.Revision
+			}
+		}
+	}
+	return out
+}
+
+// Start starts target number i of s with its node.
+func (b *Bed) Start(s Service, i int) (*Target, error) {
+	set, err := b.settings(b.spec.Zones[i%len(b.spec.Zones)])
+	if err != nil {
+		return nil, err
+	}
+	h, endHost, err := mwhost.New(set, mwhost.WithLog(b.log), mwhost.WithStore(b.store))
+	if err != nil {
+		return nil, fmt.Errorf("testbed: %w", err)
+	}
+	srv, endServer, err := mwfakeserver.New(s.Service.Service, h.Local(), b.options(s)...)
+	if err != nil {
+		endHost()
+		return nil, fmt.Errorf("testbed: %w", err)
+	}
+	if len(b.join) < joinNodes {
+		b.join = append(b.join, h.Peer())
+	}
+	t := &Target{Host: h, Server: srv, Stop: func() { endServer(); endHost() }}
+	b.targets[s.Service.Service] = append(b.targets[s.Service.Service], t)
+	return t, nil
+}
+
+// joinNodes is the number of nodes that all others are told of.
+const joinNodes = 3
+
+func (b *Bed) options(s Service) []mwfakeserver.Option {
+	return append([]mwfakeserver.Option{
+		mwfakeserver.WithSeed(b.spec.Seed),
+		mwfakeserver.WithSlots(s.Slots, s.Queue),
+		mwfakeserver.WithConnections(s.Connections),
+		mwfakeserver.WithClasses(s.Classes...),
+		mwfakeserver.WithRecord(b.record),
+	}, s.Options...)
+}
+
+// Forget ends t and takes it off the list.
+func (b *Bed) Forget(t *Target) {
+	for s, ts := range b.targets {
+		for i, x := range ts {
+			if x == t {
+				b.targets[s] = append(ts[:i:i], ts[i+1:]...)
+			}
+		}
+	}
+	t.Stop()
+}
+
+func (b *Bed) stopAll() {
+	for _, t := range b.All() {
+		t.Stop()
+	}
+	clear(b.targets)
+}
+
+// All returns all targets, in the order of Spec.Services.
+func (b *Bed) All() []*Target {
+	var out []*Target
+	for _, s := range b.spec.Services {
+		out = append(out, b.targets[s.Service.Service]...)
+	}
+	return out
+}
+
+// Targets returns the targets of s.
+func (b *Bed) Targets(s mwid.ServiceName) []*Target { return b.targets[s] }
+
+// Entries returns the addresses for callers of all nodes.
+func (b *Bed) Entries() []mwid.Address {
+	var out []mwid.Address
+	for _, t := range b.All() {
+		out = append(out, t.Host.Entry())
+	}
+	return out
+}
+
+// Store returns the stand-in of the platform's store.
+func (b *Bed) Store() *mwfakestore.Store { return b.store }
+
+// Record returns what all backend servers ran.
+func (b *Bed) Record() *mwfakeserver.Record { return b.record }
+
+// Version returns the newest version that was applied.
+func (b *Bed) Version() mwid.Version { return b.version }
+
+// errNotReady is the error of a wait that took too long.
+var errNotReady = errors.New("nodes do not know all targets and the configuration")
+
+// pollPeriod is the time between two looks at the nodes.
+const pollPeriod = 10 * time.Millisecond
+
+// AwaitReady waits until every node knows every target and has the newest
+// configuration.
+func (b *Bed) AwaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	t := time.NewTicker(pollPeriod)
+	defer t.Stop()
+	for !b.ready() {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return fmt.Errorf("testbed: %w", errNotReady)
+		}
+	}
+	return nil
+}
+
+func (b *Bed) ready() bool {
+	for _, t := range b.All() {
+		if !b.InForce(t) || !b.complete(t) {
+			return false
+		}
+	}
+	return true
+}
+
+// InForce tells whether t's node has the newest configuration.
+func (b *Bed) InForce(t *Target) bool {
+	s := t.Host.Kernel().Configuration().Snapshot()
+	return s != nil && s.Version() >= b.version
+}
+
+func (b *Bed) complete(t *Target) bool {
+	for s, ts := range b.targets {
+		if len(t.Host.Kernel().Membership().Targets(s)) != len(ts) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/mwbench/internal/mwtestbed/work.go
@@ -0,0 +1,61 @@
+package mwtestbed
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwlabel"
+)
+
+// workLabel is the label that names the kind of work of a request.
+const workLabel mwlabel.Name = "Work"
+
+// Work is a kind of work with its policy, as an operator would write it.
+type Work struct {
+	Name mwconfig.DocumentName
+	// Service, Method and PathPrefix say which requests it is; an empty one
+	// is met by all.
+	Service    mwid.ServiceName
+	Method     string
+	PathPrefix string
+	Policy     mwconfig.Policy
+}
+
+// documents returns a label, a selector and a policy for each of ws.
+func documents(ws []Work) ([]mwconfig.Document, error) {
+	var out []mwconfig.Document
+	for _, w := range ws {
+		for _, p := range w.parts() {
+			b, err := json.Marshal(p.spec)
+			if err != nil {
+				return nil, fmt.Errorf("document %s: %w", w.Name, err)
+			}
+			out = append(out, mwconfig.Document{Kind: p.kind, Name: w.Name, Spec: b})
+		}
+	}
+	return out, nil
+}
+
+// part is one document before it is encoded.
+type part struct {
+	kind mwconfig.Kind
+	spec any
+}
+
+func (w Work) parts() []part {
+	v := mwlabel.Value(w.Name)
+	p := w.Policy
+	p.Requests = w.Name
+	return []part{
+		{mwconfig.KindRequestLabel, mwconfig.RequestLabel{
+			Service: w.Service, Method: w.Method, PathPrefix: w.PathPrefix,
+			Labels: mwlabel.Set{workLabel: v},
+		}},
+		{mwconfig.KindSelector, mwconfig.Selector{
+			On: mwconfig.OnRequest, Terms: mwlabel.Selector{{Label: workLabel, In: []mwlabel.Value{v}}},
+		}},
+		{mwconfig.KindPolicy, p},
+	}
+}
