--- a/mwbench/internal/mwclient/client.go
+++ b/mwbench/internal/mwclient/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwfakeserver"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwshard"
@@ -29,6 +30,9 @@
 	// Timeout is the time that the caller waits for the whole, all tries
 	// together.
 	Timeout time.Duration
+	// TryTimeout is how long the caller waits for one try; 0 stands for
+	// Timeout.
+	TryTimeout time.Duration
 	// Tries is the greatest number of attempts; below 1 stands for 1.
 	Tries mwunit.Attempts
 	// Pause is the time between two attempts.
@@ -40,6 +44,7 @@
 	http    *http.Client
 	entries []mwid.Address
 	refused *mwshard.Map[mwfakeserver.RequestID, struct{}]
+	codes   *mwshard.Map[Answer, int]
 	cut     atomic.Int64
 }
 
@@ -58,6 +63,7 @@
 	c := &Client{
 		http: &http.Client{Transport: t}, entries: entries,
 		refused: mwshard.New[mwfakeserver.RequestID, struct{}](mwshard.DefaultShards),
+		codes:   mwshard.New[Answer, int](mwshard.DefaultShards),
 	}
 	return c, t.CloseIdleConnections
 }
@@ -71,7 +77,7 @@
 		a := attempt{c: c, q: q, id: string(s.Kind) + "-" + strconv.Itoa(int(s.Number)), n: o.Tries}
 		o.Tries++
 		var again bool
-		o.OK, o.Work, again = a.run(ctx)
+		o.OK, o.Work, again = a.timed(ctx)
 		if o.OK || !again || !pause(ctx, q.Pause) {
 			return o
 		}
@@ -103,6 +109,16 @@
 	return mwfakeserver.RequestID(a.id + "." + strconv.Itoa(int(a.n)))
 }
 
+// timed runs the try within its own timeout.
+func (a *attempt) timed(ctx context.Context) (ok bool, work time.Duration, again bool) {
+	if a.q.TryTimeout == 0 {
+		return a.run(ctx)
+	}
+	ctx, cancel := context.WithTimeout(ctx, a.q.TryTimeout)
+	defer cancel()
+	return a.run(ctx)
+}
+
 // run makes the try; again tells whether another one may help.
 func (a *attempt) run(ctx context.Context) (ok bool, work time.Duration, again bool) {
 	r, err := a.request(ctx)
@@ -120,6 +136,7 @@
 		}
 		return false, 0, true
 	}
+	a.c.count(newAnswer(a.q.Service, res))
 	if res.Header.Get("Mw-Outcome") == "NotRun" {
 		a.c.refused.Set(a.requestID(), struct{}{})
 	}
@@ -176,3 +193,29 @@
 // Cut returns how many answers broke before their end, other than by the
 // caller's own timeout.
 func (c *Client) Cut() int64 { return c.cut.Load() }
+
+// Answer is a kind of answer that a try got.
+type Answer struct {
+	Service mwid.ServiceName
+	Status  int
+	// Code is mwcode.OK for an answer by a backend server.
+	Code mwcode.Code
+}
+
+func newAnswer(s mwid.ServiceName, res *http.Response) Answer {
+	// An answer without a code is one by a backend server.
+	n, _ := strconv.Atoi(res.Header.Get("Mw-Code"))
+	return Answer{Service: s, Status: res.StatusCode, Code: mwcode.Code(n)}
+}
+
+func (c *Client) count(a Answer) {
+	c.codes.Update(a, func(n int, _ bool) (int, bool) { return n + 1, true })
+}
+
+// Answers calls f with each kind of answer and how many tries got it.
+func (c *Client) Answers(f func(a Answer, n int)) {
+	c.codes.Range(func(a Answer, n int) bool {
+		f(a, n)
+		return true
+	})
+}
--- /dev/null
+++ b/mwbench/internal/mwexperiment/blocking.go
@@ -0,0 +1,100 @@
+package mwexperiment
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwclient"
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwfakeserver"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("blocking", runBlocking) }
+
+// Kinds of requests of the scenario.
+const (
+	short mwload.Kind = "short"
+	long  mwload.Kind = "long"
+)
+
+// Long downloads want longPart of all slots, and short work shortPart.
+const (
+	longTime                 = 1500 * time.Millisecond
+	longTimeout              = 10 * time.Second
+	longBody    mwunit.Bytes = 512 << 10
+	longPart    mwunit.Ratio = 1.2
+	shortPart   mwunit.Ratio = 0.3
+)
+
+func runBlocking(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	p := e.Profile
+	spec := mwtestbed.Spec{
+		Services: []mwtestbed.Service{serviceOf(p.Download, work(p.Download), mwfakeserver.Class{
+			Prefix: longPath, Time: longTime, Jitter: jitter, Body: longBody, Streamed: true,
+		})},
+		Works: standardWorks(p),
+	}
+	q := mwclient.Request{Service: p.Download.Service, Method: http.MethodGet, Path: "/list", Timeout: callerTimeout}
+	d := q
+	d.Path, d.Timeout = longPath+"/artwork", longTimeout
+	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{short: q, long: d})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	b := newBlocking(t)
+	b.send(ctx)
+	return b.measures(), ctx.Err()
+}
+
+// blocking is one run: short work alone, then beside long downloads.
+type blocking struct {
+	*trial
+	alone  mwload.Span
+	beside mwload.Span
+	all    time.Duration
+}
+
+func newBlocking(t *trial) *blocking {
+	warm := t.env.Phase(time.Second, 300*time.Millisecond)
+	d := t.env.Phase(4*time.Second, 800*time.Millisecond)
+	// Downloads come for a while before they count.
+	fill := t.env.Phase(2*time.Second, 500*time.Millisecond)
+	return &blocking{
+		trial:  t,
+		alone:  mwload.Span{From: warm, To: warm + d},
+		beside: mwload.Span{From: warm + d + fill, To: warm + 2*d + fill},
+		all:    warm + 2*d + fill,
+	}
+}
+
+func (b *blocking) send(ctx context.Context) {
+	s := b.env.Profile.Download
+	rate := mwunit.PerSecond(float64(s.Capacity(longTime)) * float64(longPart))
+	b.run(ctx,
+		steady(short, b.all, part(s, shortPart)),
+		mwload.Stream{Kind: long, Steps: []mwload.Step{
+			{For: b.alone.To}, {For: b.all - b.alone.To, Rate: rate},
+		}},
+	)
+}
+
+func (b *blocking) measures() []mwfigure.Measure {
+	alone, beside := b.tally.Sum(b.alone, short), b.tally.Sum(b.beside, short)
+	downloads := b.tally.Sum(b.beside, long)
+	e := b.env
+	return []mwfigure.Measure{
+		e.Measure("ShortWaitP99", mwfigure.Ratio, over(beside.Wait(99), alone.Wait(99)), mwfigure.AtMost(1.2)),
+		e.Measure("ShortWaitP99Alone", mwfigure.Millis, millis(alone.Wait(99)), mwfigure.Target{}),
+		e.Measure("ShortWaitP99Beside", mwfigure.Millis, millis(beside.Wait(99)), mwfigure.Target{}),
+		e.Measure("ShortAnswerP99", mwfigure.Ratio, over(beside.Took(99), alone.Took(99)), mwfigure.Target{}),
+		e.Measure("ShortAnswered", mwfigure.Ratio, mwfigure.Value(beside.OKRatio()), mwfigure.Target{}),
+		e.Measure("LongAnswered", mwfigure.Ratio, mwfigure.Value(downloads.OKRatio()), mwfigure.Target{}),
+		e.Measure("LongGoodput", mwfigure.PerSecond, mwfigure.Value(downloads.Goodput()), mwfigure.Target{}),
+	}
+}
--- /dev/null
+++ b/mwbench/internal/mwexperiment/chain.go
@@ -0,0 +1,91 @@
+package mwexperiment
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwclient"
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwbench/internal/mwprofile"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakeserver"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("chain", runChain) }
+
+// The chain: services one below the other, with two targets each.
+const (
+	chainDepth                      = 17
+	chainTargets                    = 2
+	chainSlots      mwunit.Slots    = 16
+	chainBudget     mwunit.Attempts = 3
+	chainTime                       = time.Millisecond
+	chainTimeout                    = 5 * time.Second
+	chainRate                       = 20
+	bottomFailing   mwunit.Ratio    = 0.5
+	baselineTimeout                 = time.Second
+)
+
+// link returns the service at depth i, from 0 at the top.
+func link(i int) mwid.ServiceName { return mwid.ServiceName(fmt.Sprintf("link-%02d", i)) }
+
+func chainSpec() mwtestbed.Spec {
+	spec := mwtestbed.Spec{Works: []mwtestbed.Work{{Name: "chain", Policy: mwconfig.Policy{
+		Repeatable: ptr(true), Retries: ptr(chainBudget),
+	}}}}
+	for i := range chainDepth {
+		c := mwfakeserver.Class{Prefix: "/", Time: chainTime, Body: shortBody}
+		if i == chainDepth-1 {
+			c.Failing = bottomFailing
+		} else {
+			c.Stages = []mwfakeserver.Stage{get(link(i + 1))}
+		}
+		s := mwprofile.Service{
+			Service: link(i), Targets: chainTargets, Slots: chainSlots, Connections: mwunit.Connections(chainSlots),
+		}
+		spec.Services = append(spec.Services, serviceOf(s, c))
+	}
+	return spec
+}
+
+func runChain(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	q := mwclient.Request{Service: link(0), Method: http.MethodGet, Path: "/", Timeout: chainTimeout}
+	if !e.Treated() {
+		// Three tries at each of 17 hops would outlast the run.
+		q.Timeout = baselineTimeout
+	}
+	t, end, err := newTrial(ctx, e, chainSpec(), map[mwload.Kind]mwclient.Request{whole: q})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	all := e.Phase(3*time.Second, time.Second)
+	t.run(ctx, steady(whole, all, chainRate))
+	attempts := bottomAttempts(t, mwload.Shots(e.Seed, steady(whole, all, chainRate)))
+	got := t.tally.Sum(mwload.Span{To: all}, whole)
+	return []mwfigure.Measure{
+		e.Measure("BottomAttempts", mwfigure.Count, mwfigure.Value(attempts), mwfigure.AtMost(mwfigure.Value(1+chainBudget))),
+		e.Measure("Answered", mwfigure.Ratio, mwfigure.Value(got.OKRatio()), mwfigure.Target{}),
+		e.Measure("P99", mwfigure.Millis, millis(got.Took(99)), mwfigure.Target{}),
+	}, ctx.Err()
+}
+
+// bottomAttempts returns the greatest number of attempts that one request of
+// shots made at the bottom of the chain.
+func bottomAttempts(t *trial, shots []mwload.Shot) mwunit.Attempts {
+	below := strings.Repeat("/0.0", chainDepth-1)
+	var most mwunit.Attempts
+	for _, s := range shots {
+		id := fmt.Sprintf("%s-%d.0%s", s.Kind, s.Number, below)
+		most = max(most, t.bed.Record().Runs(mwfakeserver.RequestID(id)))
+	}
+	return most
+}
--- /dev/null
+++ b/mwbench/internal/mwexperiment/crest.go
@@ -0,0 +1,108 @@
+package mwexperiment
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwclient"
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakeserver"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("crest", runCrest) }
+
+// proof is requests for proofs.
+const proof mwload.Kind = "proof"
+
+// Demand at the crest, as parts of what the proof service can do. Orders go
+// to their own service and call the proof service; browsing swings.
+const (
+	crestOrders mwunit.Ratio = 0.2
+	crestProofs mwunit.Ratio = 0.3
+	crestBrowse mwunit.Ratio = 0.4
+	crestFactor mwunit.Ratio = 5
+)
+
+// crestSteps is the number of steps of the swing, up and down.
+const crestSteps = 4
+
+func runCrest(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	p := e.Profile
+	spec := mwtestbed.Spec{
+		Services: []mwtestbed.Service{
+			serviceOf(p.Browse, work(p.Browse, get(p.Proof.Service))),
+			serviceOf(p.Order, work(p.Order, mwfakeserver.Stage{{
+				Service: p.Proof.Service, Method: http.MethodGet, Path: proofPath,
+			}})),
+			serviceOf(p.Proof, work(p.Proof)),
+		},
+		Works: append(standardWorks(p), mwtestbed.Work{
+			Name: "browsing-proofs", Service: p.Proof.Service, Method: http.MethodGet,
+			Policy: mwconfig.Policy{Rank: -1, Repeatable: ptr(true)},
+		}),
+	}
+	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{
+		browse: browseRequest(p), order: orderRequest(p), proof: proofRequest(p),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	c := newCrest(t)
+	c.send(ctx)
+	return c.measures(), ctx.Err()
+}
+
+// crest is one run: browsing swings up to crestFactor times its usual demand
+// and back, while orders and proofs stay.
+type crest struct {
+	*trial
+	step  time.Duration
+	swing mwload.Span
+}
+
+func newCrest(t *trial) *crest {
+	step := t.env.Phase(700*time.Millisecond, 150*time.Millisecond)
+	return &crest{trial: t, step: step, swing: mwload.Span{From: step, To: step + 2*crestSteps*step}}
+}
+
+func (c *crest) send(ctx context.Context) {
+	p := c.env.Profile.Proof
+	c.run(ctx,
+		steady(order, c.swing.To, part(p, crestOrders)),
+		steady(proof, c.swing.To, part(p, crestProofs)),
+		mwload.Stream{Kind: browse, Steps: c.steps(part(p, crestBrowse))},
+	)
+}
+
+// steps returns the swing of a stream whose usual rate is r.
+func (c *crest) steps(r mwunit.PerSecond) []mwload.Step {
+	out := []mwload.Step{{For: c.step, Rate: r}}
+	for i := range 2 * crestSteps {
+		up := min(i+1, 2*crestSteps-i)
+		f := 1 + (crestFactor-1)*mwunit.Ratio(up)/crestSteps
+		out = append(out, mwload.Step{For: c.step, Rate: mwunit.PerSecond(float64(r) * float64(f))})
+	}
+	return out
+}
+
+func (c *crest) measures() []mwfigure.Measure {
+	best := c.tally.Sum(c.swing, order, proof)
+	orders, proofs := c.tally.Sum(c.swing, order), c.tally.Sum(c.swing, proof)
+	shops := c.tally.Sum(c.swing, browse)
+	e := c.env
+	return []mwfigure.Measure{
+		e.Measure("OrdersAndProofsAnswered", mwfigure.Ratio, mwfigure.Value(best.OKRatio()), mwfigure.AtLeast(0.999)),
+		e.Measure("OrdersAnswered", mwfigure.Ratio, mwfigure.Value(orders.OKRatio()), mwfigure.Target{}),
+		e.Measure("ProofsAnswered", mwfigure.Ratio, mwfigure.Value(proofs.OKRatio()), mwfigure.Target{}),
+		e.Measure("OrdersAndProofsP99", mwfigure.Millis, millis(best.Took(99)), mwfigure.Target{}),
+		e.Measure("BrowsingAnswered", mwfigure.Ratio, mwfigure.Value(shops.OKRatio()), mwfigure.Target{}),
+		e.Measure("DoubleRuns", mwfigure.Count, mwfigure.Value(len(c.bed.Record().DoubleKeys())), mwfigure.AtMost(0)),
+	}
+}
--- /dev/null
+++ b/mwbench/internal/mwexperiment/once.go
@@ -0,0 +1,136 @@
+package mwexperiment
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwbench/internal/mwclient"
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("once", runOnce) }
+
+// Demand and faults of the scenario.
+const (
+	onceRate       mwunit.PerSecond = 60
+	onceTries      mwunit.Attempts  = 4
+	oncePause                       = 100 * time.Millisecond
+	onceTimeout                     = 3 * time.Second
+	onceTryTimeout                  = 500 * time.Millisecond
+	pauseFactor    mwunit.Ratio     = 20
+)
+
+// onceFaults are the faults of the store, one after the other.
+var onceFaults = []mwfakestore.Faults{
+	{Delay: 2 * time.Millisecond},
+	{Delay: 2 * time.Millisecond, Lost: 0.3},
+	{Delay: 2 * time.Millisecond, Lost: 0.2, Dropped: 0.2, Late: 0.5, Stale: 0.2},
+	{Away: true},
+	{Delay: 300 * time.Millisecond, Lost: 0.1, Late: 0.5},
+	{},
+}
+
+func runOnce(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	p := e.Profile
+	orders := serviceOf(p.Order, work(p.Order))
+	q := orderRequest(p)
+	q.Tries, q.Pause, q.Timeout, q.TryTimeout = onceTries, oncePause, onceTimeout, onceTryTimeout
+	ws := standardWorks(p)
+	for i := range ws {
+		// Callers that try hard are what is asked about here.
+		ws[i].Policy.CallerRatio = ptr(mwunit.Ratio(1))
+		if !e.Treated() {
+			// A plain relay knows no work that must not repeat.
+			ws[i].Policy.Repeatable = ptr(true)
+		}
+	}
+	t, end, err := newTrial(ctx, e, mwtestbed.Spec{
+		Services: []mwtestbed.Service{serviceOf(p.Browse, work(p.Browse)), orders}, Works: ws,
+	}, map[mwload.Kind]mwclient.Request{order: q})
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	o := &once{trial: t, service: orders, step: e.Phase(1500*time.Millisecond, 250*time.Millisecond)}
+	// Callers come in by nodes that stay.
+	cl, endClient := mwclient.New(t.bed.EntriesOf(p.Browse.Service)...)
+	defer endClient()
+	t.client = cl
+	if err := o.send(ctx); err != nil {
+		return nil, err
+	}
+	return o.measures(), nil
+}
+
+// once is one run: while the store shows its faults in turn, backend servers
+// pause, and one node with its backend server is lost and replaced.
+type once struct {
+	*trial
+	service mwtestbed.Service
+	step    time.Duration
+}
+
+func (o *once) send(ctx context.Context) error {
+	all := o.step * time.Duration(len(onceFaults))
+	var g errgroup.Group
+	g.Go(func() error { return o.disturb(ctx) })
+	o.run(ctx, steady(order, all, onceRate))
+	return g.Wait()
+}
+
+// disturb shows the faults of the store. In every step another backend server
+// pauses; in one, a node is lost with its backend server, without a word.
+func (o *once) disturb(ctx context.Context) error {
+	ts := o.bed.Targets(o.service.Service.Service)
+	t := time.NewTicker(o.step)
+	defer t.Stop()
+	for i, f := range onceFaults {
+		o.bed.Store().SetFaults(f)
+		victim := ts[i%len(ts)]
+		victim.Server.SetSlowness(pauseFactor)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		victim.Server.SetSlowness(1)
+		if i == lostStep {
+			if err := o.lose(ts[len(ts)-1], len(ts)-1); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// lostStep is the number of the step after which a node is lost.
+const lostStep = 1
+
+// lose ends t at once and starts another in its place.
+func (o *once) lose(t *mwtestbed.Target, i int) error {
+	o.bed.Detach(t)
+	t.Stop()
+	_, err := o.bed.Start(o.service, i)
+	return err
+}
+
+func (o *once) measures() []mwfigure.Measure {
+	all := o.tally.Sum(mwload.Span{To: time.Hour}, order)
+	rec := o.bed.Record()
+	e := o.env
+	return []mwfigure.Measure{
+		e.Measure("DoubleRuns", mwfigure.Count, mwfigure.Value(len(rec.DoubleKeys())), mwfigure.AtMost(0)),
+		e.Measure("FalseNotRun", mwfigure.Count, mwfigure.Value(len(o.client.FalseRefusals(rec))), mwfigure.AtMost(0)),
+		e.Measure("Orders", mwfigure.Count, mwfigure.Value(all.Sent), mwfigure.Target{}),
+		e.Measure("Answered", mwfigure.Ratio, mwfigure.Value(all.OKRatio()), mwfigure.Target{}),
+		e.Measure("Resubmissions", mwfigure.Count, mwfigure.Value(int(all.Tries)-all.Sent), mwfigure.Target{}),
+		e.Measure("RefusedNotRun", mwfigure.Count, mwfigure.Value(o.client.Refused()), mwfigure.Target{}),
+	}
+}
--- /dev/null
+++ b/mwbench/internal/mwexperiment/slow.go
@@ -0,0 +1,101 @@
+package mwexperiment
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwclient"
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwload"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwfakeserver"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("slow", runSlow) }
+
+// The slowed target, and the demand as a part of what the targets can do.
+const (
+	slowFactor mwunit.Ratio = 10
+	slowPart   mwunit.Ratio = 0.25
+	reportLag               = 2 * time.Second
+)
+
+func runSlow(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	ms, err := slowRun(ctx, e, true)
+	if err != nil || !e.Treated() {
+		return ms, err
+	}
+	plain, err := slowHealthy(ctx, e)
+	if err != nil {
+		return nil, err
+	}
+	hedged := ms[len(ms)-1].Value
+	return append(ms,
+		e.Measure("HealthyP99Unhedged", mwfigure.Millis, plain, mwfigure.Target{}),
+		e.Measure("HedgeCost", mwfigure.Ratio, hedged/plain, mwfigure.AtMost(1.05)),
+	), nil
+}
+
+// slow is one run: all targets healthy, then one slowed.
+type slow struct {
+	*trial
+	healthy mwload.Span
+	slowed  mwload.Span
+}
+
+func newSlow(ctx context.Context, e mwscenario.Env, hedge bool) (*slow, func(), error) {
+	s := serviceOf(e.Profile.Browse, work(e.Profile.Browse))
+	s.Options = append(s.Options, mwfakeserver.WithReporting(mwfakeserver.Reporting{Lag: reportLag, Factor: 1}))
+	spec := mwtestbed.Spec{
+		Services: []mwtestbed.Service{s}, Works: standardWorks(e.Profile),
+		Tune: func(set *mwsetting.Node) { set.Retry.Hedge = hedge },
+	}
+	q := mwclient.Request{Service: s.Service.Service, Method: http.MethodGet, Path: "/templates", Timeout: callerTimeout}
+	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{browse: q})
+	if err != nil {
+		return nil, nil, err
+	}
+	warm := e.Phase(2*time.Second, 500*time.Millisecond)
+	d := e.Phase(4*time.Second, 800*time.Millisecond)
+	return &slow{
+		trial:   t,
+		healthy: mwload.Span{From: warm, To: warm + d},
+		slowed:  mwload.Span{From: warm + d, To: warm + 2*d},
+	}, end, nil
+}
+
+// slowRun measures both phases.
+func slowRun(ctx context.Context, e mwscenario.Env, hedge bool) ([]mwfigure.Measure, error) {
+	s, end, err := newSlow(ctx, e, hedge)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	victim := s.bed.Targets(e.Profile.Browse.Service)[0].Server
+	timer := time.AfterFunc(s.slowed.From, func() { victim.SetSlowness(slowFactor) })
+	defer timer.Stop()
+	s.run(ctx, steady(browse, s.slowed.To, part(e.Profile.Browse, slowPart)))
+	healthy, slowed := s.tally.Sum(s.healthy, browse), s.tally.Sum(s.slowed, browse)
+	return []mwfigure.Measure{
+		e.Measure("SlowedP99", mwfigure.Ratio, over(slowed.Took(99), healthy.Took(99)), mwfigure.AtMost(1.5)),
+		e.Measure("SlowedP99Time", mwfigure.Millis, millis(slowed.Took(99)), mwfigure.Target{}),
+		e.Measure("SlowedAnswered", mwfigure.Ratio, mwfigure.Value(slowed.OKRatio()), mwfigure.Target{}),
+		e.Measure("HealthyP99", mwfigure.Millis, millis(healthy.Took(99)), mwfigure.Target{}),
+	}, ctx.Err()
+}
+
+// slowHealthy returns the p99 of healthy targets without hedges, in
+// milliseconds.
+func slowHealthy(ctx context.Context, e mwscenario.Env) (mwfigure.Value, error) {
+	s, end, err := newSlow(ctx, e, false)
+	if err != nil {
+		return 0, err
+	}
+	defer end()
+	s.run(ctx, steady(browse, s.healthy.To, part(e.Profile.Browse, slowPart)))
+	return millis(s.tally.Sum(s.healthy, browse).Took(99)), ctx.Err()
+}
--- a/mwbench/internal/mwload/load_test.go
+++ b/mwbench/internal/mwload/load_test.go
@@ -66,6 +66,8 @@
 		c.Assert(took(time.Second), qt.Equals, 5*time.Second)
 		c.Assert(took(2*time.Second), qt.Equals, 7*time.Second)
 		all := tally.Sum(mwload.Span{To: time.Minute}, "a")
+		c.Assert(all.OK, qt.Equals, 3)
+		c.Assert(tally.Sum(mwload.Span{From: 3 * time.Second, To: 6 * time.Second}, "a").Ended, qt.Equals, 1)
 		c.Assert(all.Wait(100).Round(10*time.Millisecond), qt.Equals, 4*time.Second)
 	})
 }
--- a/mwbench/internal/mwload/tally.go
+++ b/mwbench/internal/mwload/tally.go
@@ -1,6 +1,7 @@
 package mwload
 
 import (
+	"slices"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -17,7 +18,7 @@
 )
 
 // Tally keeps the results of a run by kind and by window of the intended
-// start. Each kind and window is a key of its own, so that requests seldom
+// start; answers are counted by the window of their end too. Each kind and window is a key of its own, so that requests seldom
 // wait for each other.
 type Tally struct {
 	width time.Duration
@@ -28,6 +29,7 @@
 type cell struct {
 	kind   Kind
 	window int
+	ended  bool // ended tells that window is that of the end.
 }
 
 // sums are the results of one cell; its shard's lock guards it.
@@ -59,20 +61,28 @@
 }
 
 func newSums() *sums {
-	return &sums{
-		took: hdrhistogram.New(minMicros, maxMicros, digits),
-		wait: hdrhistogram.New(minMicros, maxMicros, digits),
-	}
+	return &sums{took: newHistogram(), wait: newHistogram()}
+}
+
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(minMicros, maxMicros, digits)
 }
 
 // Keep adds r.
 func (t *Tally) Keep(r Result) {
-	k := cell{kind: r.Kind, window: int(r.At / t.width)}
+	t.update(cell{kind: r.Kind, window: int(r.At / t.width)}, func(s *sums) { s.add(r) })
+	if r.OK {
+		end := cell{kind: r.Kind, window: int((r.At + r.Took) / t.width), ended: true}
+		t.update(end, func(s *sums) { s.OK++ })
+	}
+}
+
+func (t *Tally) update(k cell, f func(*sums)) {
 	t.m.Update(k, func(s *sums, ok bool) (*sums, bool) {
 		if !ok {
 			s = newSums()
 		}
-		s.add(r)
+		f(s)
 		return s, true
 	})
 }
@@ -103,41 +113,44 @@
 // Summary is what came of the requests of a kind in a span.
 type Summary struct {
 	Counts
-	span Span
-	took *hdrhistogram.Histogram
-	wait *hdrhistogram.Histogram
+	// Ended counts the requests that were answered in time within the span,
+	// whenever they started.
+	Ended int
+	span  Span
+	took  *hdrhistogram.Histogram
+	wait  *hdrhistogram.Histogram
 }
 
 // Sum returns the results of the kinds ks whose windows start in sp.
 func (t *Tally) Sum(sp Span, ks ...Kind) Summary {
-	out := Summary{span: sp}
-	all := newSums()
+	out := Summary{span: sp, took: newHistogram(), wait: newHistogram()}
 	t.m.Range(func(c cell, s *sums) bool {
-		if at := time.Duration(c.window) * t.width; at < sp.From || at >= sp.To || !has(ks, c.kind) {
+		at := time.Duration(c.window) * t.width
+		if at < sp.From || at >= sp.To || !slices.Contains(ks, c.kind) {
+			return true
+		}
+		if c.ended {
+			out.Ended += s.OK
 			return true
 		}
-		all.Sent, all.OK, all.Tries = all.Sent+s.Sent, all.OK+s.OK, all.Tries+s.Tries
-		all.took.Merge(s.took)
-		all.wait.Merge(s.wait)
+		out.add(s)
 		return true
 	})
-	out.Counts, out.took, out.wait = all.Counts, all.took, all.wait
 	return out
 }
 
-func has(ks []Kind, k Kind) bool {
-	for _, x := range ks {
-		if x == k {
-			return true
-		}
-	}
-	return false
+func (s *Summary) add(v *sums) {
+	s.Sent += v.Sent
+	s.OK += v.OK
+	s.Tries += v.Tries
+	s.took.Merge(v.took)
+	s.wait.Merge(v.wait)
 }
 
-// Goodput returns the requests answered in time, for each second of the
-// span.
+// Goodput returns the requests that were answered in time within the span,
+// for each second of it.
 func (s Summary) Goodput() mwunit.PerSecond {
-	return mwunit.PerSecond(float64(s.OK) / (s.span.To - s.span.From).Seconds())
+	return mwunit.PerSecond(float64(s.Ended) / (s.span.To - s.span.From).Seconds())
 }
 
 // Percentile is from 0 to 100.
--- a/mwbench/internal/mwtestbed/bed.go
+++ b/mwbench/internal/mwtestbed/bed.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
+	"sync"
 	"time"
 
 	"mustardwheel.example/mwbench/internal/mwprofile"
@@ -53,10 +55,12 @@
 type Target struct {
 	Host   *mwhost.Host
 	Server *mwfakeserver.Server
-	// Stop ends both at once.
-	Stop func()
+	end    func()
 }
 
+// Stop ends both at once; only its first call does.
+func (t *Target) Stop() { t.end() }
+
 // Bed is what runs: a node for each backend server, spread over the zones.
 type Bed struct {
 	spec   Spec
@@ -68,6 +72,8 @@
 	// goroutine at a time changes them.
 	targets map[mwid.ServiceName][]*Target
 	version mwid.Version
+	// detached are targets that are not listed any more.
+	detached []*Target
 }
 
 // readyTimeout bounds the wait until all nodes know all targets.
@@ -164,7 +170,7 @@
 	if len(b.join) < joinNodes {
 		b.join = append(b.join, h.Peer())
 	}
-	t := &Target{Host: h, Server: srv, Stop: func() { endServer(); endHost() }}
+	t := &Target{Host: h, Server: srv, end: sync.OnceFunc(func() { endServer(); endHost() })}
 	b.targets[s.Service.Service] = append(b.targets[s.Service.Service], t)
 	return t, nil
 }
@@ -182,23 +188,18 @@
 	}, s.Options...)
 }
 
-// Forget ends t and takes it off the list.
-func (b *Bed) Forget(t *Target) {
+// Detach takes t off the list of targets; it runs on until the end of b.
+func (b *Bed) Detach(t *Target) {
 	for s, ts := range b.targets {
-		for i, x := range ts {
-			if x == t {
-				b.targets[s] = append(ts[:i:i], ts[i+1:]...)
-			}
-		}
+		b.targets[s] = slices.DeleteFunc(slices.Clone(ts), func(x *Target) bool { return x == t })
 	}
-	t.Stop()
+	b.detached = append(b.detached, t)
 }
 
 func (b *Bed) stopAll() {
-	for _, t := range b.All() {
+	for _, t := range append(b.All(), b.detached...) {
 		t.Stop()
 	}
-	clear(b.targets)
 }
 
 // All returns all targets, in the order of Spec.Services.
@@ -222,6 +223,15 @@
 	return out
 }
 
+// EntriesOf returns the addresses for callers of the nodes of s.
+func (b *Bed) EntriesOf(s mwid.ServiceName) []mwid.Address {
+	var out []mwid.Address
+	for _, t := range b.targets[s] {
+		out = append(out, t.Host.Entry())
+	}
+	return out
+}
+
 // Store returns the stand-in of the platform's store.
 func (b *Bed) Store() *mwfakestore.Store { return b.store }
 
--- a/mwbench/internal/mwtestbed/setting.go
+++ b/mwbench/internal/mwtestbed/setting.go
@@ -8,9 +8,6 @@
 
 	"mustardwheel.example/mwbench/internal/mwprofile"
 	"mustardwheel.example/mwlib/mwsetting"
-
-	// Registers the plug-ins.
-	_ "mustardwheel.example/mwlib/mwstandard"
 )
 
 // gossipPeriod is shorter than a node's own default, so that a Bed is ready
--- /dev/null
+++ b/mwbench/main.go
@@ -0,0 +1,73 @@
+// Command mwbench loads real nodes on loopback and measures what comes of
+// it, with mustardwheel's decisions and without.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	// Registers the scenarios.
+	_ "mustardwheel.example/mwbench/internal/mwexperiment"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitFault  = 1
+	exitUsage  = 2
+	exitMissed = 3
+)
+
+// errMissed is the error of a run with a figure that misses its target.
+var errMissed = errors.New("a figure misses its target")
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(args []string) int {
+	p := flags.NewNamedParser("mwbench", flags.HelpFlag|flags.PassDoubleDash)
+	for _, c := range commands {
+		if _, err := p.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitFault
+		}
+	}
+	_, err := p.ParseArgs(args)
+	return exitCode(err)
+}
+
+// exitCode prints err and returns the exit code for it.
+func exitCode(err error) int {
+	if err == nil {
+		return exitOK
+	}
+	var e *flags.Error
+	if errors.As(err, &e) {
+		if e.Type == flags.ErrHelp {
+			fmt.Println(e.Message)
+			return exitOK
+		}
+		fmt.Fprintln(os.Stderr, e.Message)
+		return exitUsage
+	}
+	fmt.Fprintln(os.Stderr, "mwbench:", err)
+	if errors.Is(err, errMissed) {
+		return exitMissed
+	}
+	return exitFault
+}
+
+// command is one verb.
+type command struct {
+	name, short, long string
+	data              flags.Commander
+}
+
+var commands = []command{
+	{"demo", "show an overloaded retired interface with and without mustardwheel",
+		"Runs the scenario retired once, with short phases, and prints a table.", &demo{}},
+	{"run", "run scenarios", "Runs scenarios with both arms and prints their figures.", &runner{}},
+	{"list", "list scenarios and profiles", "Lists the names of scenarios and profiles.", &list{}},
+}
