--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -1,5 +1,6 @@
 // Package mwroute holds the routers: plug-in "cost", which knows zones,
-// latencies and thresholds, and the baseline "random".
+// latencies and thresholds, "inflight", which rates targets by calls in
+// flight alone, and the baseline "random".
 package mwroute
 
 import (
@@ -39,6 +40,7 @@
 
 func init() {
 	mwkernel.Routers.Register("cost", newRouter[PeakLatency])
+	mwkernel.Routers.Register("inflight", newRouter[InFlight])
 }
 
 func newRouter[S Score](env mwkernel.Env) (mwkernel.Router, mwregistry.Cleanup, error) {
