--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -32,6 +32,7 @@
 	score  S
 	here   mwcall.Target
 	set    mwsetting.Route
+	epoch  time.Time
 	states *mwshard.Map[targetKey, state]
 	views  *mwshard.Map[mwid.ServiceName, *view]
 	far    *mwbudget.Tokens[mwid.ServiceName]
@@ -52,6 +53,7 @@
 			Node: env.Node, Zone: env.Settings.Place.Zone, Region: env.Settings.Place.Region,
 		},
 		set:    env.Settings.Route,
+		epoch:  time.Now(),
 		states: mwshard.New[targetKey, state](mwshard.DefaultShards),
 		views:  mwshard.New[mwid.ServiceName, *view](mwshard.DefaultShards),
 		far:    mwbudget.NewTokens[mwid.ServiceName](mwbudget.WithReserve(farReserve)),
@@ -132,8 +134,9 @@
 // Begin notes that c is sent to t.
 func (r *Router[S]) Begin(c *mwcall.Call, t mwcall.Target) func(mwcall.Head, mwcall.Sample) {
 	k, now := keyOf(t), time.Now()
+	long := c.Class.Length == mwconfig.Long
 	r.states.Update(k, func(s state, _ bool) (state, bool) {
-		s.inFlight++
+		s.begin(long, now.Sub(r.epoch))
 		s.used = now
 		return s, true
 	})
@@ -143,11 +146,12 @@
 		r.far.Earn(c.Service, r.set.FarRatio, now)
 	}
 	return func(h mwcall.Head, m mwcall.Sample) {
-		now := time.Now()
+		began, now := now, time.Now()
 		r.states.Update(k, func(s state, ok bool) (state, bool) {
 			if !ok {
 				return s, false
 			}
+			s.finish(long, began.Sub(r.epoch))
 			s.end(h, m, now)
 			s.used = now
 			return s, true
@@ -241,7 +245,7 @@
 		if !ok || t.distance == self && crowded(tg, s) {
 			continue
 		}
-		score := p.r.score.Of(s.load(tg, p.v.median, p.now))
+		score := p.r.score.Of(s.load(tg, p.v.median, p.now.Sub(p.r.epoch), p.now))
 		if p.cold(tg) {
 			cold.offer(tg, score)
 			continue
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -19,6 +19,10 @@
 // state is what this node saw of one target.
 type state struct {
 	inFlight mwunit.Slots
+	// short and began are the calls in flight that are not long work, and the
+	// sum of the times since epoch at which they began.
+	short mwunit.Slots
+	began time.Duration
 	// latency is the peak-sensitive moving average of the time to the
 	// answer's head: it jumps up to a slower answer and decays to faster
 	// ones.
@@ -96,14 +100,44 @@
 	return math.Exp(-float64(max(age, 0)) / float64(decay))
 }
 
+// age returns how long the calls in flight have waited for their answers, on
+// average. It is the first sign that a target is slow now: answer times tell
+// of it only when the slow answers are there.
+func (s *state) age(since time.Duration) time.Duration {
+	if s.short == 0 {
+		return 0
+	}
+	return since - s.began/time.Duration(s.short)
+}
+
+// begin notes a call that begins at since, the time since epoch.
+func (s *state) begin(long bool, since time.Duration) {
+	s.inFlight++
+	if !long {
+		s.short++
+		s.began += since
+	}
+}
+
+// finish takes back what begin noted.
+func (s *state) finish(long bool, since time.Duration) {
+	s.inFlight--
+	if !long {
+		s.short--
+		s.began -= since
+	}
+}
+
 // load returns what a Score judges t by.
-func (s *state) load(t mwcall.Target, median time.Duration, now time.Time) Load {
-	return Load{InFlight: s.inFlight, Slots: t.Slots, Latency: s.cost(median, now)}
+func (s *state) load(t mwcall.Target, median, since time.Duration, now time.Time) Load {
+	return Load{
+		InFlight: s.inFlight, Slots: t.Slots,
+		Latency: max(s.cost(median, now), s.age(since)),
+	}
 }
 
 // end learns from one finished attempt.
 func (s *state) end(h mwcall.Head, m mwcall.Sample, now time.Time) {
-	s.inFlight = max(s.inFlight-1, 0)
 	if m.Cancelled && h.Code != mwcode.OK {
 		s.endCancelled(m, now)
 		return
