mwroute: eject slow targets for a short time that doubles

A target was left out for five seconds after its last slow answer, ten times as long as a spell. It is left out for 250 ms now, and twice as long each time it is found slow again, up to 8 s; late answers from before count for nothing.

--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -124,8 +124,7 @@
 		st, _ := r.states.Get(k)
 		return st
 	}
-	lim := limits{ejectRatio: r.set.EjectRatio, slowFactor: r.set.SlowFactor}
-	v = newView(r.here, ts, look, lim, now)
+	v = newView(r.here, ts, look, r.set.EjectRatio, now)
 	r.views.Set(s, v)
 	r.meter.ejected(s, v.ejected)
 	return v
@@ -147,18 +146,28 @@
 	}
 	return func(h mwcall.Head, m mwcall.Sample) {
 		began, now := now, time.Now()
+		median := r.median(c.Service)
 		r.states.Update(k, func(s state, ok bool) (state, bool) {
 			if !ok {
 				return s, false
 			}
 			s.finish(long, began.Sub(r.epoch))
 			s.end(h, m, now)
+			s.judge(median, r.set.SlowFactor, now)
 			s.used = now
 			return s, true
 		})
 	}
 }
 
+// median returns the median latency of s, or 0 where it is not known.
+func (r *Router[S]) median(s mwid.ServiceName) time.Duration {
+	if v, ok := r.views.Get(s); ok {
+		return v.median
+	}
+	return 0
+}
+
 // sweep forgets what was not used for idleFor.
 func (r *Router[S]) sweep(now time.Time) {
 	r.states.DeleteFunc(func(_ targetKey, s state) bool {
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -38,13 +38,15 @@
 	busyUntil time.Time
 	downUntil time.Time
 	failures  int // failures counts lost connections and silences in a row.
+	slowUntil time.Time
+	strikes   int // strikes counts how often the target was found slow.
 }
 
 const (
 	// decay is the time constant of the moving averages.
 	decay = 5 * time.Second
 	// meanWeight is the weight of one answer in the plain average.
-	meanWeight = 0.1
+	meanWeight = 0.3
 	// thresholdTTL is how long a learnt threshold holds.
 	thresholdTTL = time.Second
 	// busyFor is how long a target that refused a call without a threshold
@@ -56,6 +58,11 @@
 	// is left out; the time doubles with each failure.
 	downFirst = 250 * time.Millisecond
 	downMax   = 8 * time.Second
+	// slowFirst and slowMax bound how long a slow target is left out. Slow
+	// spells are often short, so the first time is short, and it doubles
+	// while the target is found slow again.
+	slowFirst = 250 * time.Millisecond
+	slowMax   = 8 * time.Second
 )
 
 // fitness orders targets by what a call can hope for.
@@ -149,7 +156,7 @@
 		s.learnLatency(m.First, now)
 	case code == mwcode.ConnectFailed, code == mwcode.ConnectionLost, code == mwcode.Silent:
 		s.failures++
-		s.downUntil = now.Add(backoff(s.failures))
+		s.downUntil = now.Add(backoff(s.failures, downFirst, downMax))
 	case code == mwcode.Draining, code == mwcode.NoBackend:
 		s.downUntil = now.Add(downMax)
 	case aboutLoad(code) && h.Threshold == 0:
@@ -183,11 +190,34 @@
 	if s.samples == 0 {
 		s.mean = d
 	}
-	s.mean += time.Duration(meanWeight * float64(d-s.mean))
+	if !now.Before(s.slowUntil) {
+		s.mean += time.Duration(meanWeight * float64(d-s.mean))
+	}
 	s.samples++
 	s.seen = now
 }
 
+// slowFloor is the latency below which nothing is slow.
+const slowFloor = 2 * time.Millisecond
+
+// judge finds out whether the target is slow against the median of its
+// service. A slow one is left out for a while and then judged by new answers
+// alone; late answers of before count for nothing.
+func (s *state) judge(median time.Duration, factor mwunit.Ratio, now time.Time) {
+	if s.samples < minSamples || median == 0 || now.Before(s.slowUntil) {
+		return
+	}
+	if s.mean > slowFloor && float64(s.mean) > float64(median)*float64(factor) {
+		s.strikes++
+		s.slowUntil = now.Add(backoff(s.strikes, slowFirst, slowMax))
+		s.mean = median
+		return
+	}
+	if now.Sub(s.slowUntil) > slowMax {
+		s.strikes = 0
+	}
+}
+
 // average returns the moving average with d, weighted by the time since the
 // last answer.
 func (s *state) average(d time.Duration, now time.Time) time.Duration {
@@ -198,11 +228,12 @@
 	return time.Duration(w*float64(s.latency) + (1-w)*float64(d))
 }
 
-func backoff(failures int) time.Duration {
-	d := downFirst
-	for range failures - 1 {
-		if d *= 2; d >= downMax {
-			return downMax
+// backoff returns first, doubled for each of n but the first, up to most.
+func backoff(n int, first, most time.Duration) time.Duration {
+	d := first
+	for range n - 1 {
+		if d *= 2; d >= most {
+			return most
 		}
 	}
 	return d
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -67,7 +67,7 @@
 }
 
 // newView orders ts for the node at here.
-func newView(here mwcall.Target, ts []mwcall.Target, look func(targetKey) state, lim limits, now time.Time) *view {
+func newView(here mwcall.Target, ts []mwcall.Target, look func(targetKey) state, most mwunit.Ratio, now time.Time) *view {
 	v := &view{n: len(ts), made: now}
 	if len(ts) > 0 {
 		v.of = &ts[0]
@@ -79,7 +79,7 @@
 		}
 	}
 	v.median = median(all)
-	v.ejected = eject(all, v.median, lim, now)
+	v.ejected = eject(all, most, now)
 	v.place(here, all)
 	return v
 }
@@ -168,44 +168,24 @@
 	return ds[(len(ds)-1)/2]
 }
 
-// limits bound the ejection.
-type limits struct {
-	ejectRatio mwunit.Ratio
-	slowFactor mwunit.Ratio
-}
-
-// eject marks targets that are slow against the median or can't be reached,
-// the worst first, up to the part of all that may be ejected; it returns how
+// eject marks targets that are slow or can't be reached, the worst first, up
+// to most, the part of all that may be ejected; it returns how
 // many. What is not ejected for the bound stays in use: where most targets
 // look bad, the fault may well lie on the way to them.
-func eject(all []seen, median time.Duration, lim limits, now time.Time) int {
+func eject(all []seen, most mwunit.Ratio, now time.Time) int {
 	var bad []*seen
 	for i := range all {
 		s := &all[i]
-		if s.State == mwcall.Up && (now.Before(s.downUntil) || s.slow(median, lim, now)) {
+		if s.State == mwcall.Up && (now.Before(s.downUntil) || now.Before(s.slowUntil)) {
 			bad = append(bad, s)
 		}
 	}
 	slices.SortStableFunc(bad, func(a, b *seen) int {
-		return cmp.Or(b.downUntil.Compare(a.downUntil), cmp.Compare(b.mean, a.mean))
+		return cmp.Or(b.downUntil.Compare(a.downUntil), b.slowUntil.Compare(a.slowUntil))
 	})
-	n := min(len(bad), int(float64(lim.ejectRatio)*float64(len(all))))
+	n := min(len(bad), int(float64(most)*float64(len(all))))
 	for _, s := range bad[:n] {
 		s.ejected = true
 	}
 	return n
 }
-
-// slowFor is how long a target counts as slow after its last answer; then it
-// is tried again.
-const slowFor = 5 * time.Second
-
-// slowFloor is the latency below which nothing is slow.
-const slowFloor = 2 * time.Millisecond
-
-func (s *seen) slow(median time.Duration, lim limits, now time.Time) bool {
-	if s.samples < minSamples || now.Sub(s.state.seen) >= slowFor {
-		return false
-	}
-	return s.mean > slowFloor && float64(s.mean) > float64(median)*float64(lim.slowFactor)
-}
