mwlimit: raise the limit of AIMD by its root

Cause: after a slow spell of 1 s that made calls take ten times as long, the limit rose by one slot a window. Change: a step of the root of the limit.

--- a/mwlib/mwlimit/aimd.go
+++ b/mwlib/mwlimit/aimd.go
@@ -1,8 +1,11 @@
 package mwlimit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// AIMD raises the limit by a constant step while calls do not queue in the
+// AIMD raises the limit by a small step while calls do not queue in the
 // backend server, and lowers it by a factor where they do. The queue time is
 // what the mean latency has above its Floor.
 type AIMD struct {
@@ -14,7 +17,8 @@
 
 // Parameters of AIMD.
 const (
-	// aimdStep is the increase for each window, in slots.
+	// aimdStep is the increase for each window, as a multiple of the root of
+	// the limit.
 	aimdStep = 1
 	// aimdFactor lowers the limit.
 	aimdFactor = 0.9
@@ -37,5 +41,5 @@
 	if mean-low > max(time.Duration(aimdTolerance*float64(low)), aimdSlack) {
 		return limit * aimdFactor
 	}
-	return limit + aimdStep
+	return limit + aimdStep*math.Sqrt(limit)
 }
