mwlane: bound long work by the announced slots

Cause: the limit that short work teaches rose above the slots of the backend server, and the lane of long work grew with it. Change: the bounds of longer lanes follow the announced slots where the limit is above them.

--- a/mwlib/mwlane/lane.go
+++ b/mwlib/mwlane/lane.go
@@ -55,22 +55,23 @@
 	used   [Count]mwunit.Slots
 }
 
-// New returns Slots whose long work has at most the part long of the limit,
-// and medium and long work together the part medium.
-func New(limit mwunit.Slots, medium, long mwunit.Ratio) *Slots {
+// New returns Slots whose long work has at most the part long of the
+// announced slots, and medium and long work together the part medium.
+func New(announced mwunit.Slots, medium, long mwunit.Ratio) *Slots {
 	s := &Slots{shares: [Count]mwunit.Ratio{Short: 1, Medium: max(medium, long), Long: long}}
-	s.SetLimit(limit)
+	s.SetLimit(announced, announced)
 	return s
 }
 
-// SetLimit sets the limit of all lanes together.
-func (s *Slots) SetLimit(n mwunit.Slots) {
-	if n == s.limit {
-		return
-	}
-	s.limit = n
-	for l, r := range s.shares {
-		s.bounds[l] = max(1, mwunit.Slots(float64(r)*float64(n)))
+// SetLimit sets the limit of all lanes together. The bounds of longer work
+// shrink with a limit below the announced slots, and do not grow with one
+// above them: such a limit is learnt from short work, and long work would
+// keep what it can't be sure to have.
+func (s *Slots) SetLimit(limit, announced mwunit.Slots) {
+	s.limit = limit
+	s.bounds[Short] = limit
+	for l := Medium; l < Count; l++ {
+		s.bounds[l] = max(1, mwunit.Slots(float64(s.shares[l])*float64(min(limit, announced))))
 	}
 }
 
