mwadmit: bound the wait, and measure the decisions

Cause: a queue of 256 calls let browsing wait for 927 ms at p99 in a surge of three times the capacity. Change: a queue takes as many calls as start within 50 ms.

With a least capacity of 8, calls on the retired interface within its share lost up to 1.5% (RetiredCeiling) while the rest was overloaded; with 16, at most 0.3%.

A reserve of a tenth of the slots that retired calls above their floor had to leave free did not lower p99 of the rest (34.7 against 34.8 ms) and cost the retired interface 15 to 20% of its calls: not kept.

Readers of the table of gates take no lock now.

--- a/mwlib/mwadmit/adaptive.go
+++ b/mwlib/mwadmit/adaptive.go
@@ -9,7 +9,6 @@
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwlimit"
-	"mustardwheel.example/mwlib/mwshard"
 )
 
 // Adaptive admits calls by a limit that policy P adapts, and lets the others
@@ -21,26 +20,24 @@
 	cfg       *config
 	stats     *stats
 	newPolicy func() P
-	gates     *mwshard.Map[mwid.ServiceName, *gate[P]]
+	gates     *table[*gate[P]]
 }
 
 // newAdaptive returns an Adaptive without services.
 func newAdaptive[P mwlimit.Policy](cfg *config, st *stats, newPolicy func() P) *Adaptive[P] {
 	return &Adaptive[P]{
 		cfg: cfg, stats: st, newPolicy: newPolicy,
-		gates: mwshard.New[mwid.ServiceName, *gate[P]](mwshard.DefaultShards),
+		gates: newTable[*gate[P]](),
 	}
 }
 
 // Announce sets the bounds of a service.
 func (a *Adaptive[P]) Announce(ann mwcall.Announcement) {
-	fresh := false
-	g := a.gates.GetOrSet(ann.Service, func() *gate[P] {
-		fresh = true
+	g, fresh := a.gates.getOrSet(ann.Service, func() *gate[P] {
 		return newGate(a.cfg, a.stats.gate(ann.Service), a.newPolicy(), ann)
 	})
 	if fresh {
-		a.stats.watch(ann.Service, func() mwkernel.Load { return g.load(time.Now()) })
+		a.stats.watch(ann.Service, g.load)
 		return
 	}
 	g.bound(time.Now(), ann)
@@ -49,7 +46,7 @@
 // Admit waits until c may start. Each error has a code that tells that c did
 // not run.
 func (a *Adaptive[P]) Admit(ctx context.Context, c *mwcall.Call) (mwkernel.Release, error) {
-	g, ok := a.gates.Get(c.Service)
+	g, ok := a.gates.get(c.Service)
 	if !ok {
 		return nil, mwcode.New(mwcode.NoBackend)
 	}
@@ -74,7 +71,7 @@
 		if code == mwcode.OK && ctx.Err() != nil {
 			return g.leave(time.Now(), t, goneCode(ctx))
 		}
-		g.stat.waited(t.lane, time.Since(t.came))
+		g.stat.waited(t.lane, time.Since(t.entry.Came))
 		return code
 	case <-ctx.Done():
 		return g.leave(time.Now(), t, goneCode(ctx))
@@ -83,11 +80,11 @@
 
 // Load returns the present state of service s.
 func (a *Adaptive[P]) Load(s mwid.ServiceName) mwkernel.Load {
-	g, ok := a.gates.Get(s)
+	g, ok := a.gates.get(s)
 	if !ok {
 		return mwkernel.Load{}
 	}
-	return g.load(time.Now())
+	return g.load()
 }
 
 // goneCode returns the code for a call whose ctx is done.
--- a/mwlib/mwadmit/admit_test.go
+++ b/mwlib/mwadmit/admit_test.go
@@ -30,7 +30,7 @@
 	browsing mwunit.Importance = 10
 )
 
-// make returns the admission named n for a backend server of some slots.
+// makeAdmission returns the admission named n for a backend server of some slots.
 func makeAdmission(tb testing.TB, n mwregistry.Name, set mwsetting.Admit, slots mwunit.Slots) mwkernel.Admission {
 	c := qt.New(tb)
 	a, end, err := mwkernel.Admissions.Make(n, mwkernel.Env{
@@ -185,22 +185,3 @@
 		c.Check(ok >= 15, qt.IsTrue, qt.Commentf("%d", ok))
 	})
 }
-
-func BenchmarkAdmit(b *testing.B) {
-	for _, name := range []mwregistry.Name{mwadmit.AdaptiveName, mwadmit.FixedName} {
-		b.Run(string(name), func(b *testing.B) {
-			a := makeAdmission(b, name, mwsetting.Admit{}, 90)
-			call := newCall(orders, "r")
-			call.Deadline = time.Now().Add(time.Hour)
-			s := mwcall.Sample{Took: time.Millisecond, First: time.Millisecond}
-			b.ReportAllocs()
-			for b.Loop() {
-				release, err := a.Admit(b.Context(), call)
-				if err != nil {
-					b.Fatal(err)
-				}
-				release(s)
-			}
-		})
-	}
-}
--- a/mwlib/mwadmit/band.go
+++ b/mwlib/mwadmit/band.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwlane"
 	"mustardwheel.example/mwlib/mwqueue"
 	"mustardwheel.example/mwlib/mwunit"
@@ -12,6 +13,7 @@
 // one retired interface, or all others. It has a queue for each lane, so that
 // what waits for the one does not hold up the other and can't push it out.
 type band struct {
+	version  mwid.Version // version is that of the bounds; older ones don't count.
 	floor    mwunit.Slots
 	ceiling  mwunit.Slots
 	inFlight mwunit.Slots
--- /dev/null
+++ b/mwlib/mwadmit/bench_test.go
@@ -0,0 +1,100 @@
+package mwadmit_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"mustardwheel.example/mwlib/mwadmit"
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwsetting"
+)
+
+// admitOne admits c and releases it.
+func admitOne(tb testing.TB, a mwkernel.Admission, c *mwcall.Call) {
+	release, err := a.Admit(tb.Context(), c)
+	if err != nil {
+		tb.Error(err)
+		return
+	}
+	release(mwcall.Sample{Took: time.Millisecond, First: time.Millisecond})
+}
+
+func BenchmarkAdmit(b *testing.B) {
+	for _, name := range []mwregistry.Name{mwadmit.AdaptiveName, mwadmit.FixedName, mwadmit.NoneName} {
+		b.Run(string(name), func(b *testing.B) {
+			a, c := makeAdmission(b, name, mwsetting.Admit{}, 90), newCall(orders, "r")
+			c.Deadline = time.Now().Add(time.Hour)
+			b.ReportAllocs()
+			for b.Loop() {
+				admitOne(b, a, c)
+			}
+		})
+	}
+}
+
+// BenchmarkAdmitParallel shows with -cpu 1,2,4,8 whether the threads wait for
+// each other's locks: each thread calls a service of its own, or all call
+// the same.
+func BenchmarkAdmitParallel(b *testing.B) {
+	for _, services := range []int{1, 16} {
+		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
+			a := makeAdmission(b, mwadmit.AdaptiveName, mwsetting.Admit{}, 90)
+			for i := range services {
+				a.Announce(mwcall.Announcement{Service: mwid.ServiceName(fmt.Sprint(i)), Slots: 90, Connections: 660})
+			}
+			var thread atomic.Int64
+			b.ReportAllocs()
+			b.RunParallel(func(pb *testing.PB) {
+				c := newCall(orders, "r")
+				c.Service = mwid.ServiceName(fmt.Sprint(int(thread.Add(1)) % services))
+				for pb.Next() {
+					admitOne(b, a, c)
+				}
+			})
+		})
+	}
+}
+
+// waiting is a context that tells when somebody waits for its end.
+type waiting struct {
+	context.Context
+	tell chan struct{}
+}
+
+// Done implements context.Context.
+func (w waiting) Done() <-chan struct{} {
+	w.tell <- struct{}{}
+	return w.Context.Done()
+}
+
+// BenchmarkRefuse is the cost of a call that is shed in an overload.
+func BenchmarkRefuse(b *testing.B) {
+	const queue = 64
+	a := makeAdmission(b, mwadmit.AdaptiveName, mwsetting.Admit{Queue: queue}, 1)
+	ctx, cancel := context.WithCancel(b.Context())
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	w := waiting{ctx, make(chan struct{})}
+	if _, err := a.Admit(ctx, newCall(orders, "first")); err != nil {
+		b.Fatal(err)
+	}
+	for i := range queue {
+		wg.Go(func() { _, _ = a.Admit(w, newCall(orders, mwid.RootID(fmt.Sprint(i)))) })
+		<-w.tell
+	}
+	c := newCall(browsing, "r")
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := a.Admit(ctx, c); err == nil {
+			b.Fatal("admitted")
+		}
+	}
+}
--- /dev/null
+++ b/mwlib/mwadmit/bounds_test.go
@@ -0,0 +1,101 @@
+package mwadmit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwadmit"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// seconds is the length of a run.
+const seconds = 10
+
+// rest is short work that keeps 20 slots of a backend server busy at the
+// part busy.
+func rest(busy float64) demand {
+	const slots, took = 20, 20 * time.Millisecond
+	return demand{
+		importance: browsing, length: mwconfig.Short, took: took,
+		rate: steady(busy * slots * float64(time.Second/took)), timeout: time.Second,
+	}
+}
+
+// beside runs d beside the rest.
+func beside(t *testing.T, p mwregistry.Name, busy float64, seed uint64, ds ...demand) []*report {
+	l := load{plugin: p, slots: 20, workers: 20, length: seconds * time.Second, demands: append([]demand{rest(busy)}, ds...)}
+	return run(t, l, seed)
+}
+
+func TestRetiredOverloadDoesNotSpread(t *testing.T) {
+	const floor, ceiling = 2, 3
+	share := float64(floor) * float64(time.Second/(20*time.Millisecond))
+	tests := []struct {
+		name string
+		busy float64
+		rate float64 // rate is the demand on the retired interface.
+		// least is the least part of rate that must be answered.
+		least float64
+		// slower bounds the p99 of the rest as a multiple of that with the
+		// retired interface at its share.
+		slower float64
+	}{
+		{name: "within its share, rest idle", busy: 0.5, rate: 0.7 * share, least: 0.99, slower: 1.02},
+		{name: "within its share, rest overloaded", busy: 2, rate: 0.7 * share, least: 0.99, slower: 1.02},
+		{name: "ten times its share", busy: 0.5, rate: 7 * share, least: 0.1 * 0.99, slower: 1.02},
+		{name: "ten times its share, rest busy", busy: 0.7, rate: 7 * share, least: 0.1 * 0.99, slower: 1.1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			old := rest(0)
+			old.rate, old.importance = steady(test.rate), orders
+			old.retired = mwconfig.Verdict{Retired: "retired", Floor: floor, Ceiling: ceiling}
+			normal := old
+			normal.rate = steady(0.7 * share)
+			for seed := range seeds() {
+				alone := beside(t, mwadmit.AdaptiveName, test.busy, seed, normal)[0]
+				r := beside(t, mwadmit.AdaptiveName, test.busy, seed, old)
+				t.Logf("seed %d: rest %.4f, undisturbed %.4f; p99 %v, undisturbed %v; retired %.3f",
+					seed, r[0].ratio(0, seconds), alone.ratio(0, seconds),
+					r[0].quantile(0.99), alone.quantile(0.99), r[1].ratio(0, seconds))
+				c.Check(r[1].ratio(0, seconds) >= test.least, qt.IsTrue)
+				c.Check(r[0].ratio(0, seconds) >= 0.98*alone.ratio(0, seconds), qt.IsTrue)
+				c.Check(float64(r[0].quantile(0.99)) <= test.slower*float64(alone.quantile(0.99)), qt.IsTrue)
+			}
+		})
+	}
+}
+
+func TestShortWorkBesideDownloads(t *testing.T) {
+	tests := []struct {
+		name   string
+		plugin mwregistry.Name
+		length mwconfig.Length // length is what downloads are classed as.
+		bound  float64         // bound is for the p99 of short work; 0 is none.
+	}{
+		{name: "adaptive", plugin: mwadmit.AdaptiveName, length: mwconfig.Long, bound: 1.2},
+		{name: "adaptive, downloads not known as long", plugin: mwadmit.AdaptiveName, length: mwconfig.Short},
+		{name: "fixed", plugin: mwadmit.FixedName, length: mwconfig.Long},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			download := demand{
+				importance: browsing + mwunit.Importance(10), length: test.length,
+				took: 4 * time.Second, rate: steady(5), timeout: 30 * time.Second,
+			}
+			for seed := range seeds() {
+				alone := beside(t, test.plugin, 0.4, seed)[0]
+				r := beside(t, test.plugin, 0.4, seed, download)
+				ratio := float64(r[0].quantile(0.99)) / float64(alone.quantile(0.99))
+				t.Logf("seed %d: p99 of short work %.2f of that without downloads, answered %.4f; downloads answered %.3f",
+					seed, ratio, r[0].ratio(0, seconds), r[1].ratio(0, seconds))
+				qt.Check(t, test.bound == 0 || ratio <= test.bound, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/mwlib/mwadmit/fixed.go
+++ b/mwlib/mwadmit/fixed.go
@@ -8,7 +8,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
-	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwqueue"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -17,7 +17,7 @@
 // that Adaptive is measured against.
 type Fixed struct {
 	cfg   *config
-	gates *mwshard.Map[mwid.ServiceName, *fixedGate]
+	gates *table[*fixedGate]
 }
 
 // fixedGate is the state of one service under its own lock.
@@ -25,16 +25,21 @@
 	mu       sync.Mutex
 	slots    mwunit.Slots
 	inFlight mwunit.Slots
-	waiting  []chan struct{}
+	waiting  *mwqueue.Queue[chan struct{}, mwqueue.ByAge]
 }
 
+// place is one call in the queue; its channel is closed when it may start.
+type place = mwqueue.Entry[chan struct{}]
+
 func newFixed(cfg *config) *Fixed {
-	return &Fixed{cfg: cfg, gates: mwshard.New[mwid.ServiceName, *fixedGate](mwshard.DefaultShards)}
+	return &Fixed{cfg: cfg, gates: newTable[*fixedGate]()}
 }
 
 // Announce sets the slots of a service.
 func (f *Fixed) Announce(a mwcall.Announcement) {
-	g := f.gates.GetOrSet(a.Service, func() *fixedGate { return &fixedGate{} })
+	g, _ := f.gates.getOrSet(a.Service, func() *fixedGate {
+		return &fixedGate{waiting: mwqueue.New[chan struct{}](mwqueue.ByAge{}, f.cfg.queue)}
+	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.slots = a.Slots
@@ -43,18 +48,18 @@
 
 // Admit waits until c may start.
 func (f *Fixed) Admit(ctx context.Context, c *mwcall.Call) (mwkernel.Release, error) {
-	g, ok := f.gates.Get(c.Service)
+	g, ok := f.gates.get(c.Service)
 	if !ok {
 		return nil, mwcode.New(mwcode.NoBackend)
 	}
-	ch, ok := g.enter(f.cfg.queue)
+	p, ok := g.enter()
 	if !ok {
 		return nil, mwcode.New(mwcode.Overloaded)
 	}
 	select {
-	case <-ch:
+	case <-p.Value:
 	case <-ctx.Done():
-		g.leave(ch)
+		g.leave(p)
 		return nil, mwcode.New(goneCode(ctx))
 	}
 	var once sync.Once
@@ -63,38 +68,34 @@
 
 // Load returns the present state of service s.
 func (f *Fixed) Load(s mwid.ServiceName) mwkernel.Load {
-	g, ok := f.gates.Get(s)
+	g, ok := f.gates.get(s)
 	if !ok {
 		return mwkernel.Load{}
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return mwkernel.Load{Limit: g.slots, InFlight: g.inFlight, Queued: mwunit.Slots(len(g.waiting))}
+	return mwkernel.Load{Limit: g.slots, InFlight: g.inFlight, Queued: mwunit.Slots(g.waiting.Len())}
 }
 
-// enter returns a channel that is closed when the call may start; ok is
-// false where capacity calls wait already.
-func (g *fixedGate) enter(capacity mwunit.Slots) (ch chan struct{}, ok bool) {
+// enter returns the place of a call that came; ok is false where the queue
+// is full.
+func (g *fixedGate) enter() (p *place, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if mwunit.Slots(len(g.waiting)) >= capacity {
+	p = &place{Value: make(chan struct{})}
+	if g.waiting.Push(p) != nil {
 		return nil, false
 	}
-	ch = make(chan struct{})
-	g.waiting = append(g.waiting, ch)
 	g.pump()
-	return ch, true
+	return p, true
 }
 
 // leave takes back a call that does not wait any longer.
-func (g *fixedGate) leave(ch chan struct{}) {
+func (g *fixedGate) leave(p *place) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for i, w := range g.waiting {
-		if w == ch {
-			g.waiting = append(g.waiting[:i], g.waiting[i+1:]...)
-			return
-		}
+	if g.waiting.Remove(p) {
+		return
 	}
 	g.inFlight--
 	g.pump()
@@ -109,9 +110,8 @@
 
 // pump starts the calls that came first while slots are free.
 func (g *fixedGate) pump() {
-	for g.inFlight < g.slots && len(g.waiting) > 0 {
-		close(g.waiting[0])
-		g.waiting = g.waiting[1:]
+	for g.inFlight < g.slots && g.waiting.Len() > 0 {
+		close(g.waiting.Pop().Value)
 		g.inFlight++
 	}
 }
--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -11,6 +11,7 @@
 	"mustardwheel.example/mwlib/mwlane"
 	"mustardwheel.example/mwlib/mwlimit"
 	"mustardwheel.example/mwlib/mwqueue"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // gate decides for one service which calls start, and when. It is the shard
@@ -28,20 +29,21 @@
 	stat    *gateStats
 	limiter *mwlimit.Limiter[P]
 	slots   *mwlane.Slots
-	paces   [mwlane.Count]pace
-	plain   *band
-	retired map[mwconfig.DocumentName]*band
-	pressed time.Time // pressed is when calls last had to be shed.
+	// announced is the number of slots that the backend server says it has.
+	announced mwunit.Slots
+	paces     [mwlane.Count]pace
+	plain     *band
+	retired   map[mwconfig.DocumentName]*band
 }
 
-// overloadHold is how long a gate counts as overloaded after it shed a call.
-const overloadHold = time.Second
+// queueLeast is the least capacity of a queue.
+const queueLeast mwunit.Slots = 16
 
 func newGate[P mwlimit.Policy](cfg *config, stat *gateStats, p P, a mwcall.Announcement) *gate[P] {
 	l := mwlimit.New(p, a.Slots, a.Connections)
 	return &gate[P]{
-		cfg: cfg, stat: stat, limiter: l,
-		slots:   mwlane.New(l.Limit(), cfg.mediumShare, cfg.longShare),
+		cfg: cfg, stat: stat, limiter: l, announced: a.Slots,
+		slots:   mwlane.New(a.Slots, cfg.mediumShare, cfg.longShare),
 		plain:   newBand(0, unbounded, cfg.queue),
 		retired: make(map[mwconfig.DocumentName]*band),
 	}
@@ -51,6 +53,7 @@
 func (g *gate[P]) bound(now time.Time, a mwcall.Announcement) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.announced = a.Slots
 	g.limiter.Bound(a.Slots, a.Connections)
 	g.adjust(now)
 }
@@ -60,9 +63,9 @@
 func (g *gate[P]) enter(now time.Time, c *mwcall.Call) (*ticket, mwcode.Code) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := &ticket{band: g.bandOf(c), lane: mwlane.Of(c.Class.Length), came: now}
+	t := &ticket{band: g.bandOf(c), lane: mwlane.Of(c.Class.Length)}
 	t.entry = mwqueue.Entry[*ticket]{
-		Value: t, Key: mwqueue.Key{Priority: c.Class.Priority},
+		Value: t, Key: mwqueue.Key{Priority: c.Class.Priority}, Came: now,
 		Deadline: c.Deadline, Service: g.service(now, t.lane),
 	}
 	if code := g.fit(now, t); code != mwcode.OK {
@@ -73,22 +76,21 @@
 		g.start(t)
 		return t, mwcode.OK
 	}
-	return g.enqueue(now, t)
+	return g.enqueue(t)
 }
 
 // enqueue lets t wait, and sheds what is worst where the queue is full.
-func (g *gate[P]) enqueue(now time.Time, t *ticket) (*ticket, mwcode.Code) {
-	t.verdict = make(chan mwcode.Code, 1)
-	shed := t.band.queues[t.lane].Push(&t.entry)
-	if shed == nil {
-		return t, mwcode.OK
+func (g *gate[P]) enqueue(t *ticket) (*ticket, mwcode.Code) {
+	q := t.band.queues[t.lane]
+	q.SetBounds(g.capacity(t.band, t.lane), g.cfg.wait)
+	shed := q.Push(&t.entry)
+	if shed != nil && shed.Value == t {
+		return nil, g.shedCode(t)
 	}
-	g.press(now)
-	code := g.shedCode(shed.Value)
-	if shed.Value == t {
-		return nil, code
+	t.verdict = make(chan mwcode.Code, 1)
+	if shed != nil {
+		shed.Value.refuse(g.shedCode(shed.Value))
 	}
-	shed.Value.refuse(code)
 	return t, mwcode.OK
 }
 
@@ -114,7 +116,9 @@
 		b = newBand(v.Floor, v.Ceiling, g.cfg.queue)
 		g.retired[v.Retired] = b
 	}
-	b.floor, b.ceiling = v.Floor, v.Ceiling
+	if c.Class.Version >= b.version {
+		b.version, b.floor, b.ceiling = c.Class.Version, v.Floor, v.Ceiling
+	}
 	return b
 }
 
@@ -151,8 +155,26 @@
 // queue, at the rate at which its lane's slots become free.
 func (g *gate[P]) wait(t *ticket) time.Duration {
 	ahead := t.band.queues[t.lane].Ahead(t.entry.Priority) + 1
-	width := min(g.slots.Bound(t.lane), max(t.band.ceiling, 1))
-	return time.Duration(ahead) * g.paces[t.lane].mean / time.Duration(width)
+	return time.Duration(ahead) * g.interval(t.band, t.lane)
+}
+
+// interval returns the mean time between two slots that become free for
+// calls of b in lane l.
+func (g *gate[P]) interval(b *band, l mwlane.Lane) time.Duration {
+	width := min(g.slots.Bound(l), max(b.ceiling, 1))
+	return g.paces[l].mean / time.Duration(width)
+}
+
+// capacity returns how many calls of b may wait in lane l: as many as can
+// start within the longest wait, so that what has no hope to start is
+// refused at once and may try elsewhere.
+func (g *gate[P]) capacity(b *band, l mwlane.Lane) mwunit.Slots {
+	each := g.interval(b, l)
+	if each <= 0 {
+		return g.cfg.queue
+	}
+	n := mwunit.Slots(g.cfg.wait / each)
+	return min(max(n, queueLeast), g.cfg.queue)
 }
 
 // start lets t run.
@@ -223,48 +245,20 @@
 
 // adjust follows the limiter and starts what may start.
 func (g *gate[P]) adjust(now time.Time) {
-	g.slots.SetLimit(g.limiter.Limit())
+	g.slots.SetLimit(g.limiter.Limit(), g.announced)
 	g.pump(now)
 }
 
-// press notes that a call had to be shed.
-func (g *gate[P]) press(now time.Time) {
-	g.pressed = now
-	g.setOverloaded(true)
-}
-
-func (g *gate[P]) setOverloaded(on bool) {
-	for b := range g.bands() {
-		for _, q := range b.queues {
-			q.SetOverloaded(on)
-		}
-	}
-}
-
-// overloaded tells whether calls were shed lately.
-func (g *gate[P]) overloaded(now time.Time) bool {
-	return !g.pressed.IsZero() && now.Sub(g.pressed) < overloadHold
-}
-
 // load returns the present state.
-func (g *gate[P]) load(now time.Time) mwkernel.Load {
+func (g *gate[P]) load() mwkernel.Load {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := mwkernel.Load{Limit: g.slots.Limit(), InFlight: g.slots.Used()}
+	l := mwkernel.Load{
+		Limit: g.slots.Limit(), InFlight: g.slots.Used(),
+		Threshold: g.plain.queues[mwlane.Short].Threshold(),
+	}
 	for b := range g.bands() {
 		l.Queued += b.waiting()
 	}
-	if g.overloaded(now) {
-		l.Threshold = g.threshold()
-	}
 	return l
 }
-
-// threshold returns the least priority that gets in now.
-func (g *gate[P]) threshold() mwcall.Priority {
-	q := g.plain.queues[mwlane.Short]
-	if q.Len() < int(g.cfg.queue) {
-		return 0
-	}
-	return q.Worst().Priority
-}
--- /dev/null
+++ b/mwlib/mwadmit/load_test.go
@@ -0,0 +1,213 @@
+package mwadmit_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// server stands in for a backend server: workers take calls first come first
+// served, and slow is how many times longer work takes at a time.
+type server struct {
+	workers chan struct{}
+	slow    func(at time.Duration) float64
+	start   time.Time
+}
+
+func newServer(workers int) *server {
+	return &server{
+		workers: make(chan struct{}, workers), start: time.Now(),
+		slow: func(time.Duration) float64 { return 1 },
+	}
+}
+
+// work does work of length d unless ctx ends before.
+func (s *server) work(ctx context.Context, d time.Duration) bool {
+	select {
+	case s.workers <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-s.workers }()
+	d = time.Duration(float64(d) * s.slow(time.Since(s.start)))
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// demand is one kind of calls in a load.
+type demand struct {
+	importance mwunit.Importance
+	length     mwconfig.Length
+	took       time.Duration // took is the mean work of a call.
+	rate       func(at time.Duration) float64
+	timeout    time.Duration
+	tries      int
+	retired    mwconfig.Verdict
+}
+
+// load is one run of demands against one backend server behind one admission.
+type load struct {
+	plugin  mwregistry.Name
+	set     mwsetting.Admit
+	slots   mwunit.Slots // slots are announced.
+	workers int          // workers are there in truth.
+	slow    func(at time.Duration) float64
+	length  time.Duration
+	demands []demand
+}
+
+// report is what became of one demand: the calls and the good ones by second
+// of their start, and the latencies of the good ones.
+type report struct {
+	mu    sync.Mutex
+	sent  []int
+	good  []int
+	took  []time.Duration
+	codes map[mwcode.Code]int
+}
+
+// ratio returns the part of the calls that were good from second a to b.
+func (r *report) ratio(a, b int) float64 {
+	sent, good := 0, 0
+	for i := a; i < b; i++ {
+		sent += r.sent[i]
+		good += r.good[i]
+	}
+	return float64(good) / float64(max(sent, 1))
+}
+
+// rate returns the good calls a second from second a to b.
+func (r *report) rate(a, b int) float64 {
+	good := 0
+	for i := a; i < b; i++ {
+		good += r.good[i]
+	}
+	return float64(good) / float64(b-a)
+}
+
+func (r *report) quantile(q float64) time.Duration {
+	if len(r.took) == 0 {
+		return 0
+	}
+	slices.Sort(r.took)
+	return r.took[int(q*float64(len(r.took)-1))]
+}
+
+// runner is one running load.
+type runner struct {
+	load
+	admit  mwkernel.Admission
+	server *server
+	wg     sync.WaitGroup
+}
+
+// run runs l in virtual time with a seed and returns a report for each
+// demand.
+func run(t *testing.T, l load, seed uint64) (reports []*report) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &runner{load: l, admit: makeAdmission(t, l.plugin, l.set, l.slots), server: newServer(l.workers)}
+		if l.slow != nil {
+			r.server.slow = l.slow
+		}
+		for i, d := range l.demands {
+			rep := &report{
+				sent: make([]int, int(l.length/time.Second)+1), good: make([]int, int(l.length/time.Second)+1),
+				codes: make(map[mwcode.Code]int),
+			}
+			reports = append(reports, rep)
+			rng := rand.New(rand.NewPCG(seed, uint64(i)))
+			r.wg.Go(func() { r.arrive(t.Context(), d, rep, rng) })
+		}
+		r.wg.Wait()
+	})
+	return reports
+}
+
+// arrive sends the calls of d at random instants, whatever becomes of them.
+func (r *runner) arrive(ctx context.Context, d demand, rep *report, rng *rand.Rand) {
+	start := time.Now()
+	for n := 0; time.Since(start) < r.length; n++ {
+		rate := d.rate(time.Since(start))
+		time.Sleep(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		at := int(time.Since(start) / time.Second)
+		if at >= len(rep.sent) {
+			return
+		}
+		rep.sent[at]++
+		took := time.Duration((0.5 + rng.Float64()) * float64(d.took))
+		root := mwid.RootID(fmt.Sprint(d.importance, "-", rng.Uint64()))
+		r.wg.Go(func() { r.call(ctx, d, rep, root, at, took) })
+	}
+}
+
+// call sends one call until it is good or its tries are used up.
+func (r *runner) call(ctx context.Context, d demand, rep *report, root mwid.RootID, at int, took time.Duration) {
+	start := time.Now()
+	for range max(d.tries, 1) {
+		code := r.try(ctx, d, root, took)
+		rep.mu.Lock()
+		rep.codes[code]++
+		if code == mwcode.OK {
+			rep.good[at]++
+			rep.took = append(rep.took, time.Since(start))
+		}
+		rep.mu.Unlock()
+		if code == mwcode.OK {
+			return
+		}
+	}
+}
+
+func (r *runner) try(ctx context.Context, d demand, root mwid.RootID, took time.Duration) mwcode.Code {
+	c := newCall(d.importance, root)
+	c.Class.Length = d.length
+	c.Class.Retired, c.Class.Floor, c.Class.Ceiling = d.retired.Retired, d.retired.Floor, d.retired.Ceiling
+	c.Deadline = time.Now().Add(d.timeout)
+	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
+	defer cancel()
+	release, err := r.admit.Admit(ctx, c)
+	if err != nil {
+		return mwcode.Of(err)
+	}
+	start := time.Now()
+	ok := r.server.work(ctx, took)
+	d2 := time.Since(start)
+	release(mwcall.Sample{Took: d2, First: d2, Cancelled: !ok})
+	if !ok {
+		return mwcode.Silent
+	}
+	return mwcode.OK
+}
+
+// steady returns a rate that never changes.
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// surge returns a rate that is n times higher from a to b.
+func surge(rate, n float64, a, b time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at >= a && at < b {
+			return n * rate
+		}
+		return rate
+	}
+}
--- a/mwlib/mwadmit/plugin.go
+++ b/mwlib/mwadmit/plugin.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"time"
 
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwlimit"
@@ -66,12 +67,14 @@
 // config is what the settings say.
 type config struct {
 	queue       mwunit.Slots
+	wait        time.Duration
 	mediumShare mwunit.Ratio
 	longShare   mwunit.Ratio
 }
 
 // Values for settings that are not set.
 const (
+	defaultWait                     = 50 * time.Millisecond
 	defaultQueue       mwunit.Slots = 256
 	defaultMediumShare mwunit.Ratio = 0.7
 	defaultLongShare   mwunit.Ratio = 0.4
@@ -79,6 +82,7 @@
 
 func newConfig(s mwsetting.Admit) *config {
 	return &config{
+		wait:        cmp.Or(s.Wait, defaultWait),
 		queue:       cmp.Or(s.Queue, defaultQueue),
 		mediumShare: cmp.Or(s.MediumShare, defaultMediumShare),
 		longShare:   cmp.Or(s.LongShare, defaultLongShare),
--- a/mwlib/mwadmit/pump.go
+++ b/mwlib/mwadmit/pump.go
@@ -25,7 +25,6 @@
 
 // pump starts calls that wait, the best first, until none may start.
 func (g *gate[P]) pump(now time.Time) {
-	g.setOverloaded(g.overloaded(now))
 	for {
 		q := g.pick()
 		if q == nil {
--- a/mwlib/mwadmit/stat.go
+++ b/mwlib/mwadmit/stat.go
@@ -19,18 +19,33 @@
 
 // gateStats are the metrics of one service.
 type gateStats struct {
-	set      *metrics.Set
-	service  mwid.ServiceName
 	admitted *metrics.Counter
+	refusals []refusals // refusals are in the order of refusalCodes.
 	waits    [mwlane.Count]*metrics.Histogram
 }
 
+// refusals counts what was refused with one code.
+type refusals struct {
+	code mwcode.Code
+	n    *metrics.Counter
+}
+
+// refusalCodes are the codes that an Adaptive refuses with.
+var refusalCodes = []mwcode.Code{
+	mwcode.Overloaded, mwcode.DeadlineTooShort, mwcode.DeadlinePassed,
+	mwcode.RetiredCeiling, mwcode.LaneFull, mwcode.CallerGone,
+}
+
 // gate returns the metrics of service s.
 func (st *stats) gate(s mwid.ServiceName) *gateStats {
 	g := &gateStats{
-		set: st.set, service: s,
 		admitted: st.set.GetOrCreateCounter(fmt.Sprintf("mw_admission_admitted_total{service=%q}", s)),
 	}
+	for _, c := range refusalCodes {
+		n := st.set.GetOrCreateCounter(fmt.Sprintf(
+			`mw_admission_refused_total{service=%q,code="%d"}`, s, int(c)))
+		g.refusals = append(g.refusals, refusals{c, n})
+	}
 	for l := range g.waits {
 		g.waits[l] = st.set.GetOrCreateHistogram(fmt.Sprintf(
 			"mw_admission_wait_seconds{service=%q,lane=%q}", s, mwlane.Lane(l)))
@@ -53,8 +68,11 @@
 
 // refused counts a call that was refused and returns its error.
 func (g *gateStats) refused(c mwcode.Code) error {
-	g.set.GetOrCreateCounter(fmt.Sprintf(
-		`mw_admission_refused_total{service=%q,code="%d"}`, g.service, int(c))).Inc()
+	for _, r := range g.refusals {
+		if r.code == c {
+			r.n.Inc()
+		}
+	}
 	return mwcode.New(c)
 }
 
--- a/mwlib/mwadmit/ticket.go
+++ b/mwlib/mwadmit/ticket.go
@@ -1,8 +1,6 @@
 package mwadmit
 
 import (
-	"time"
-
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwlane"
 	"mustardwheel.example/mwlib/mwqueue"
@@ -13,7 +11,6 @@
 type ticket struct {
 	band  *band
 	lane  mwlane.Lane
-	came  time.Time
 	state state
 	// inFlight is the number of calls in flight when this one started.
 	inFlight mwunit.Slots
