mwlimit: follow the median latency, not the mean

Cause: a few downloads that nobody labelled moved the mean of a window and with it the limit. Change: the median of up to 128 samples of a window.

--- a/mwlib/mwlimit/aimd.go
+++ b/mwlib/mwlimit/aimd.go
@@ -7,7 +7,7 @@
 
 // AIMD raises the limit by a small step while calls do not queue in the
 // backend server, and lowers it by a factor where they do. The queue time is
-// what the mean latency has above its Floor.
+// what the median latency has above its Floor.
 type AIMD struct {
 	floor Floor
 }
@@ -37,8 +37,8 @@
 	if w.Samples == 0 {
 		return limit
 	}
-	mean, low := a.floor.Note(w)
-	if mean-low > max(time.Duration(aimdTolerance*float64(low)), aimdSlack) {
+	now, low := a.floor.Note(w)
+	if now-low > max(time.Duration(aimdTolerance*float64(low)), aimdSlack) {
 		return limit * aimdFactor
 	}
 	return limit + aimdStep*math.Sqrt(limit)
--- a/mwlib/mwlimit/floor.go
+++ b/mwlib/mwlimit/floor.go
@@ -2,36 +2,36 @@
 
 import "time"
 
-// Floor is the mean latency without queueing. It goes down with each window
+// Floor is the median latency without queueing. It goes down with each window
 // that is faster. It goes up only with windows so light that no call can
 // have queued: in an overload that lasts it would else take the overload for
 // the normal state and let the limit grow.
 type Floor struct {
-	mean time.Duration // mean is smoothed over windows.
-	low  time.Duration
+	now time.Duration // now is smoothed over windows.
+	low time.Duration
 }
 
 // Parameters of Floor.
 const (
-	// floorSmooth is the weight of a new window in the mean.
+	// floorSmooth is the weight of a new window in the latency now.
 	floorSmooth = 0.3
 	// floorRise is the weight of a light window in the floor.
 	floorRise = 0.1
 )
 
-// Note takes a window and returns the smoothed mean and the floor.
-func (f *Floor) Note(w Window) (mean, low time.Duration) {
-	if f.mean == 0 {
-		f.mean = w.Mean
+// Note takes a window and returns the smoothed latency and the floor.
+func (f *Floor) Note(w Window) (now, low time.Duration) {
+	if f.now == 0 {
+		f.now = w.Median
 	}
-	f.mean = blend(f.mean, w.Mean, floorSmooth)
+	f.now = blend(f.now, w.Median, floorSmooth)
 	switch {
-	case f.low == 0 || f.mean < f.low:
-		f.low = f.mean
+	case f.low == 0 || f.now < f.low:
+		f.low = f.now
 	case w.Light:
-		f.low = blend(f.low, f.mean, floorRise)
+		f.low = blend(f.low, f.now, floorRise)
 	}
-	return f.mean, f.low
+	return f.now, f.low
 }
 
 // blend moves from towards to by the part weight.
--- a/mwlib/mwlimit/gradient.go
+++ b/mwlib/mwlimit/gradient.go
@@ -33,8 +33,8 @@
 	if w.Samples == 0 {
 		return limit
 	}
-	mean, low := g.floor.Note(w)
-	ratio := gradientTolerance * float64(low) / float64(mean)
+	now, low := g.floor.Note(w)
+	ratio := gradientTolerance * float64(low) / float64(now)
 	ratio = min(max(ratio, gradientLeast), 1)
 	return blend(limit, limit*ratio+math.Sqrt(limit), gradientSmooth)
 }
--- a/mwlib/mwlimit/limiter.go
+++ b/mwlib/mwlimit/limiter.go
@@ -3,6 +3,7 @@
 package mwlimit
 
 import (
+	"slices"
 	"time"
 
 	"mustardwheel.example/mwlib/mwcall"
@@ -28,6 +29,7 @@
 	most   float64
 	limit  float64
 	win    Window
+	times  []time.Duration // times are of the first windowTimes samples of win.
 	opened time.Time
 }
 
@@ -41,8 +43,9 @@
 type Window struct {
 	// Samples counts the calls.
 	Samples int
-	// Mean is of the time from the hand-over to the head of the answer.
-	Mean time.Duration
+	// Median is of the time from the hand-over to the head of the answer. A
+	// few stragglers do not move it.
+	Median time.Duration
 	// Shed counts calls that the backend server itself refused.
 	Shed int
 	// Peak is the greatest number of calls in flight.
@@ -52,8 +55,6 @@
 	// Light tells that Peak was so low that no call can have queued in the
 	// backend server.
 	Light bool
-
-	sum time.Duration
 }
 
 // Bounds of a window.
@@ -62,6 +63,8 @@
 	windowTime = 100 * time.Millisecond
 	// windowSamples is the least number of samples of a window.
 	windowSamples = 10
+	// windowTimes is the greatest number of samples that the median is of.
+	windowTimes = 128
 	// windowLongest ends a window that has few samples.
 	windowLongest = time.Second
 )
@@ -109,7 +112,7 @@
 	if l.opened.IsZero() {
 		l.opened = now
 	}
-	l.win.add(s, shed)
+	l.add(s, shed)
 	if l.due(now) {
 		l.close(now)
 	}
@@ -117,14 +120,16 @@
 
 // add adds one sample. The time of a refusal says nothing of the time of
 // work.
-func (w *Window) add(s mwcall.Sample, shed bool) {
-	w.Peak = max(w.Peak, s.InFlight)
+func (l *Limiter[P]) add(s mwcall.Sample, shed bool) {
+	l.win.Peak = max(l.win.Peak, s.InFlight)
 	if shed {
-		w.Shed++
+		l.win.Shed++
 		return
 	}
-	w.Samples++
-	w.sum += s.First
+	l.win.Samples++
+	if len(l.times) < windowTimes {
+		l.times = append(l.times, s.First)
+	}
 }
 
 func (l *Limiter[P]) due(now time.Time) bool {
@@ -138,10 +143,11 @@
 // close ends the window and lets the policy judge it.
 func (l *Limiter[P]) close(now time.Time) {
 	w := l.win
-	l.win, l.opened = Window{}, now
 	if w.Samples > 0 {
-		w.Mean = w.sum / time.Duration(w.Samples)
+		slices.Sort(l.times)
+		w.Median = l.times[len(l.times)/2]
 	}
+	l.win, l.times, l.opened = Window{}, l.times[:0], now
 	w.Full = float64(w.Peak) >= fullRatio*l.limit
 	w.Light = float64(w.Peak) <= max(1, lightRatio*l.slots)
 	next := l.policy.Next(l.limit, w)
