mwroute: pass over what is slow now, across distances too

A target whose latency is out of the ordinary now, judged also by the calls that wait, is passed over like a busy one; latencies are compared less the way to the region; one that was slow has to show with three calls, one at a time, that it is well.

--- /dev/null
+++ b/mwlib/mwroute/pick.go
@@ -0,0 +1,189 @@
+package mwroute
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwset"
+)
+
+// pick is one choice.
+type pick[S Score] struct {
+	r     *Router[S]
+	c     *mwcall.Call
+	v     *view
+	tried mwset.Set[mwid.NodeID]
+	now   time.Time
+	// tardy is the better of the slow targets found.
+	tardy choice
+	// leftovers has the nearest target found of each fitness worse than
+	// tardy.
+	leftovers [down + 1]mwcall.Target
+}
+
+func (p *pick[S]) run() (mwcall.Target, error) {
+	for i := range p.v.tiers {
+		t := &p.v.tiers[i]
+		passed := p.passedOver()
+		if t.distance == otherRegion && passed && p.c.Class.Length == mwconfig.Long {
+			break
+		}
+		best, ok := p.from(t)
+		if ok && t.distance == otherRegion && passed && !p.r.far.Spend(p.c.Service, p.now) {
+			break
+		}
+		if ok {
+			p.r.meter.picked(t.distance, passed)
+			return best, nil
+		}
+	}
+	return p.leftover()
+}
+
+// passedOver tells whether a target was found that is only busy or slow, not
+// gone. Then a call leaves the region only while the bound on such calls
+// holds, and long work, whose bytes cost the most, never does.
+func (p *pick[S]) passedOver() bool {
+	return p.tardy.found > 0 || p.leftovers[busy].Node != "" || p.leftovers[below].Node != ""
+}
+
+// choice is the better of up to two candidates.
+type choice struct {
+	best  mwcall.Target
+	score float64
+	found int
+}
+
+// clearly is the factor by which a score must be lower to count. Below it the
+// difference is noise, and without it the slower of two like targets would
+// get no calls at all, and nothing would be learnt of it.
+const clearly = 0.8
+
+func (ch *choice) offer(t mwcall.Target, score float64) {
+	if ch.found == 0 || score < clearly*ch.score {
+		ch.best, ch.score = t, score
+	}
+	ch.found++
+}
+
+// choices is how many targets are compared.
+const choices = 2
+
+// from returns the better of two random targets of t that have room and are
+// not slow now. One that is new is often passed over, so that its share grows
+// slowly.
+func (p *pick[S]) from(t *tier) (mwcall.Target, bool) {
+	n := len(t.targets)
+	var warm, cold choice
+	start, step := rand.IntN(n), coprimeStep(n)
+	for i := 0; i < n && warm.found < choices; i++ {
+		tg := t.targets[(start+i*step)%n]
+		l, f := p.look(tg)
+		if f != fit || t.distance == self && crowded(l) {
+			continue
+		}
+		score := p.r.score.Of(l)
+		if p.cold(tg) {
+			cold.offer(tg, score)
+			continue
+		}
+		warm.offer(tg, score)
+	}
+	if warm.found == 0 {
+		return cold.best, cold.found > 0
+	}
+	return warm.best, true
+}
+
+// crowdedShare is the part of its slots up to which this node's own target
+// is preferred.
+const crowdedShare = 0.5
+
+func crowded(l Load) bool {
+	return float64(l.InFlight) >= crowdedShare*float64(l.Slots)
+}
+
+// look returns what is known of t, and keeps it in mind where it is not fit.
+func (p *pick[S]) look(t mwcall.Target) (Load, fitness) {
+	if p.tried.Has(t.Node) {
+		return Load{}, gone
+	}
+	s, _ := p.r.states.Get(keyOf(t))
+	typical := p.v.typical(t)
+	l := s.load(t, typical, p.now.Sub(p.r.epoch), p.now)
+	f := s.fitness(p.c.Class.Priority, p.now)
+	slow := typical > 0 && isSlow(l.Latency, typical, p.r.set.SlowFactor)
+	if f == fit && (slow || s.onTrial()) {
+		f = tardy
+		p.tardy.offer(t, p.r.score.Of(l))
+	}
+	if f > tardy && p.leftovers[f].Node == "" {
+		p.leftovers[f] = t
+	}
+	return l, f
+}
+
+// minShare is the share of calls that a target gets when it is new.
+const minShare = 0.1
+
+// cold tells whether t, which is new, is passed over this time.
+func (p *pick[S]) cold(t mwcall.Target) bool {
+	age := p.now.Sub(t.Since)
+	if t.Since.IsZero() || age >= p.r.set.Warmup {
+		return false
+	}
+	share := max(minShare, float64(age)/float64(p.r.set.Warmup))
+	return rand.Float64() >= share
+}
+
+// probeShare is the part of the calls below every threshold that is sent all
+// the same, to learn when thresholds fall.
+const probeShare = 0.02
+
+// leftover returns a target where none has room: a slow one, a busy one,
+// else one that was ejected, suspect or could not be reached. A call that every usable
+// target is sure to refuse is refused here.
+func (p *pick[S]) leftover() (mwcall.Target, error) {
+	if p.tardy.found > 0 {
+		return p.tardy.best, nil
+	}
+	if t := p.leftovers[busy]; t.Node != "" {
+		return t, nil
+	}
+	if t := p.leftovers[below]; t.Node != "" {
+		if rand.Float64() < probeShare {
+			p.r.meter.probes.Inc()
+			return t, nil
+		}
+		p.r.meter.early.Inc()
+		return mwcall.Target{}, mwcode.New(mwcode.EarlyRefusal)
+	}
+	for _, t := range p.v.last {
+		if _, f := p.look(t); f <= tardy {
+			p.r.meter.fallback.Inc()
+			return t, nil
+		}
+	}
+	if t := p.leftovers[down]; t.Node != "" {
+		p.r.meter.fallback.Inc()
+		return t, nil
+	}
+	return mwcall.Target{}, mwcode.New(mwcode.NoTarget)
+}
+
+// steps are primes, one of which has no factor in common with n.
+var steps = [...]int{7, 11, 13, 17, 19, 23, 29, 31}
+
+// coprimeStep returns a random step that reaches each of n places.
+func coprimeStep(n int) int {
+	for range steps {
+		if s := steps[rand.IntN(len(steps))]; n%s != 0 {
+			return s
+		}
+	}
+	return 1
+}
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -4,7 +4,6 @@
 package mwroute
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"mustardwheel.example/mwlib/mwbudget"
@@ -107,9 +106,7 @@
 
 // Pick returns the target for c.
 func (r *Router[S]) Pick(c *mwcall.Call, ts []mwcall.Target, tried mwset.Set[mwid.NodeID]) (mwcall.Target, error) {
-	p := pick[S]{
-		r: r, c: c, tried: tried, now: time.Now(), leftovers: [down + 1]mwcall.Target{},
-	}
+	p := pick[S]{r: r, c: c, tried: tried, now: time.Now()}
 	p.v = r.view(c.Service, ts, p.now)
 	return p.run()
 }
@@ -146,24 +143,27 @@
 	}
 	return func(h mwcall.Head, m mwcall.Sample) {
 		began, now := now, time.Now()
-		median := r.median(c.Service)
+		typical := r.typical(t)
 		r.states.Update(k, func(s state, ok bool) (state, bool) {
 			if !ok {
 				return s, false
 			}
 			s.finish(long, began.Sub(r.epoch))
-			s.end(h, m, now)
-			s.judge(median, r.set.SlowFactor, now)
+			s.end(h, m, began, now)
+			if h.Code == mwcode.OK {
+				s.judge(m.First, typical, r.set.SlowFactor, began, now)
+			}
 			s.used = now
 			return s, true
 		})
 	}
 }
 
-// median returns the median latency of s, or 0 where it is not known.
-func (r *Router[S]) median(s mwid.ServiceName) time.Duration {
-	if v, ok := r.views.Get(s); ok {
-		return v.median
+// typical returns the latency that a target like t has, or 0 where it is not
+// known.
+func (r *Router[S]) typical(t mwcall.Target) time.Duration {
+	if v, ok := r.views.Get(t.Service); ok {
+		return v.typical(t)
 	}
 	return 0
 }
@@ -181,168 +181,3 @@
 		return idle
 	})
 }
-
-// pick is one choice.
-type pick[S Score] struct {
-	r     *Router[S]
-	c     *mwcall.Call
-	v     *view
-	tried mwset.Set[mwid.NodeID]
-	now   time.Time
-	// leftovers has the nearest target found of each fitness worse than fit.
-	leftovers [down + 1]mwcall.Target
-}
-
-func (p *pick[S]) run() (mwcall.Target, error) {
-	near := false
-	for i := range p.v.tiers {
-		t := &p.v.tiers[i]
-		if t.distance == otherRegion && near && p.c.Class.Length == mwconfig.Long {
-			break
-		}
-		best, ok := p.from(t)
-		if ok && t.distance == otherRegion && near && !p.r.far.Spend(p.c.Service, p.now) {
-			break
-		}
-		if ok {
-			p.r.meter.picked(t.distance, near)
-			return best, nil
-		}
-		near = near || p.occupied()
-	}
-	return p.leftover()
-}
-
-// occupied tells whether a target was found that is only busy, not gone.
-// Then a call leaves the region only while the bound on such calls holds,
-// and long work, whose bytes cost the most, never does.
-func (p *pick[S]) occupied() bool {
-	return p.leftovers[busy].Node != "" || p.leftovers[below].Node != ""
-}
-
-// choice is the better of up to two candidates.
-type choice struct {
-	best  mwcall.Target
-	score float64
-	found int
-}
-
-// clearly is the factor by which a score must be lower to count. Below it the
-// difference is noise, and without it the slower of two like targets would
-// get no calls at all, and nothing would be learnt of it.
-const clearly = 0.8
-
-func (ch *choice) offer(t mwcall.Target, score float64) {
-	if ch.found == 0 || score < clearly*ch.score {
-		ch.best, ch.score = t, score
-	}
-	ch.found++
-}
-
-// choices is how many targets are compared.
-const choices = 2
-
-// from returns the better of two random targets of t that have room. One
-// that is new is often passed over, so that its share grows slowly.
-func (p *pick[S]) from(t *tier) (mwcall.Target, bool) {
-	n := len(t.targets)
-	var warm, cold choice
-	start, step := rand.IntN(n), coprimeStep(n)
-	for i := 0; i < n && warm.found < choices; i++ {
-		tg := t.targets[(start+i*step)%n]
-		s, ok := p.usable(tg)
-		if !ok || t.distance == self && crowded(tg, s) {
-			continue
-		}
-		score := p.r.score.Of(s.load(tg, p.v.median, p.now.Sub(p.r.epoch), p.now))
-		if p.cold(tg) {
-			cold.offer(tg, score)
-			continue
-		}
-		warm.offer(tg, score)
-	}
-	if warm.found == 0 {
-		return cold.best, cold.found > 0
-	}
-	return warm.best, true
-}
-
-// crowdedShare is the part of its slots up to which this node's own target
-// is preferred.
-const crowdedShare = 0.5
-
-func crowded(t mwcall.Target, s state) bool {
-	return float64(s.inFlight) >= crowdedShare*float64(t.Slots)
-}
-
-// usable returns what is known of t where it has room for the call, else it
-// keeps t as a leftover.
-func (p *pick[S]) usable(t mwcall.Target) (state, bool) {
-	if p.tried.Has(t.Node) {
-		return state{}, false
-	}
-	s, _ := p.r.states.Get(keyOf(t))
-	f := s.fitness(p.c.Class.Priority, p.now)
-	if f != fit && p.leftovers[f].Node == "" {
-		p.leftovers[f] = t
-	}
-	return s, f == fit
-}
-
-// minShare is the share of calls that a target gets when it is new.
-const minShare = 0.1
-
-// cold tells whether t, which is new, is passed over this time.
-func (p *pick[S]) cold(t mwcall.Target) bool {
-	age := p.now.Sub(t.Since)
-	if t.Since.IsZero() || age >= p.r.set.Warmup {
-		return false
-	}
-	share := max(minShare, float64(age)/float64(p.r.set.Warmup))
-	return rand.Float64() >= share
-}
-
-// probeShare is the part of the calls below every threshold that is sent all
-// the same, to learn when thresholds fall.
-const probeShare = 0.02
-
-// leftover returns a target where none has room: a busy one, else one that
-// was ejected, suspect or could not be reached. A call that every usable
-// target is sure to refuse is refused here.
-func (p *pick[S]) leftover() (mwcall.Target, error) {
-	if t := p.leftovers[busy]; t.Node != "" {
-		return t, nil
-	}
-	if t := p.leftovers[below]; t.Node != "" {
-		if rand.Float64() < probeShare {
-			p.r.meter.probes.Inc()
-			return t, nil
-		}
-		p.r.meter.early.Inc()
-		return mwcall.Target{}, mwcode.New(mwcode.EarlyRefusal)
-	}
-	for _, t := range p.v.last {
-		if _, ok := p.usable(t); ok {
-			p.r.meter.fallback.Inc()
-			return t, nil
-		}
-	}
-	if t := p.leftovers[down]; t.Node != "" {
-		p.r.meter.fallback.Inc()
-		return t, nil
-	}
-	return mwcall.Target{}, mwcode.New(mwcode.NoTarget)
-}
-
-// steps are primes, one of which has no factor in common with n.
-var steps = [...]int{7, 11, 13, 17, 19, 23, 29, 31}
-
-// coprimeStep returns a random step that reaches each of n places.
-func coprimeStep(n int) int {
-	for range steps {
-		if s := steps[rand.IntN(len(steps))]; n%s != 0 {
-			return s
-		}
-	}
-	return 1
-}
--- a/mwlib/mwroute/router_test.go
+++ b/mwlib/mwroute/router_test.go
@@ -27,18 +27,21 @@
 )
 
 var regionOf = map[mwid.ZoneName]mwid.RegionName{
-	"wien-a": "wien", "wien-b": "wien", "graz-a": "graz", "linz-a": "linz",
+	"wien-a": "wien", "wien-b": "wien", "graz-a": "graz", "graz-b": "graz",
+	"linz-a": "linz", "linz-b": "linz",
 }
 
-// bench is a router at a node in wien-a.
+// bench is a router at a node.
 type bench struct {
 	*qt.C
 	router  mwkernel.Router
 	metrics *metrics.Set
 }
 
-func newBench(c *qt.C, name mwregistry.Name) *bench {
-	set := &mwsetting.Node{Place: mwsetting.Place{Zone: "wien-a", Region: "wien"}}
+func newBench(c *qt.C, name mwregistry.Name) *bench { return newBenchIn(c, name, "wien-a") }
+
+func newBenchIn(c *qt.C, name mwregistry.Name, z mwid.ZoneName) *bench {
+	set := &mwsetting.Node{Place: mwsetting.Place{Zone: z, Region: regionOf[z]}}
 	set.Route = mwsetting.Route{EjectRatio: 0.34, FarRatio: 0.3, SlowFactor: 3, Warmup: 10 * time.Second}
 	m := metrics.NewSet()
 	r, end, err := mwkernel.Routers.Make(name, mwkernel.Env{Node: "here", Settings: set, Metrics: m})
--- a/mwlib/mwroute/slow_test.go
+++ b/mwlib/mwroute/slow_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +14,10 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwset"
 )
 
 // factor says how much slower than normal target i is, at a time since the
@@ -50,6 +55,7 @@
 
 // farm is backend servers that work on a few calls at a time.
 type farm struct {
+	zones   []mwid.ZoneName // zones are where the nodes are that calls enter at.
 	targets []mwcall.Target
 	slots   []chan struct{}
 	factor  factor
@@ -57,21 +63,30 @@
 	mu      sync.Mutex
 	rnd     *rand.Rand
 	took    []time.Duration
+	refused int
+	load    []atomic.Int64 // load counts the calls at each target.
 }
 
 const (
 	farmSlots = 4
 	workTime  = 10 * time.Millisecond
-	entries   = 6
+	regionWay = 20 * time.Millisecond // regionWay is the way there and back between regions.
 	runTime   = 6 * time.Second
 )
 
-func newFarm(n int, seed uint64, slow factor) *farm {
-	f := &farm{targets: targets(n, "wien-a"), factor: slow, start: time.Now(), rnd: rand.New(rand.NewPCG(seed, 0))}
-	for range n {
+// oneZone is six nodes and targets in one zone, and sixZones is one of each in
+// each zone.
+var (
+	oneZone  = []mwid.ZoneName{"wien-a", "wien-a", "wien-a", "wien-a", "wien-a", "wien-a"}
+	sixZones = []mwid.ZoneName{"wien-a", "wien-b", "graz-a", "graz-b", "linz-a", "linz-b"}
+)
+
+func newFarm(zones []mwid.ZoneName, seed uint64, slow factor) *farm {
+	f := &farm{zones: zones, load: make([]atomic.Int64, len(zones)), factor: slow, start: time.Now(), rnd: rand.New(rand.NewPCG(seed, 0))}
+	for i, z := range zones {
 		f.slots = append(f.slots, make(chan struct{}, farmSlots))
-	}
-	for i := range f.targets {
+		f.targets = append(f.targets, targets(1, z)...)
+		f.targets[i].Node = mwid.NodeID(fmt.Sprint(i))
 		f.targets[i].Slots = farmSlots
 	}
 	return f
@@ -92,29 +107,60 @@
 	return time.Duration(f.factor(i, time.Since(f.start), roll) * float64(f.exp(workTime)))
 }
 
-// one makes one call through b and notes how long it took.
-func (f *farm) one(b *bench) {
-	start := time.Now()
-	t, err := b.pick(call(), f.targets)
-	b.Check(err, qt.IsNil)
+// tries is how often a call that is refused is sent.
+const tries = 3
+
+// one makes one call through the node at z and notes how long it took.
+func (f *farm) one(b *bench, z mwid.ZoneName) {
+	start, tried := time.Now(), mwset.New[mwid.NodeID]()
+	ok := false
+	for range tries {
+		t, err := b.router.Pick(call(), f.targets, tried)
+		if err != nil {
+			break
+		}
+		tried.Add(t.Node)
+		done, sent := b.router.Begin(call(), t), time.Now()
+		h := f.answer(t, z)
+		took := time.Since(sent)
+		done(h, mwcall.Sample{First: took, Took: took, Code: h.Code})
+		if ok = h.Code == mwcode.OK; ok {
+			break
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !ok {
+		f.refused++
+		return
+	}
+	f.took = append(f.took, time.Since(start))
+}
+
+// answer works on a call from z at t, or refuses it where as many wait as
+// are worked on.
+func (f *farm) answer(t mwcall.Target, z mwid.ZoneName) mwcall.Head {
+	if t.Region != regionOf[z] {
+		time.Sleep(regionWay)
+	}
 	i := slices.IndexFunc(f.targets, func(u mwcall.Target) bool { return u.Node == t.Node })
-	done := b.router.Begin(call(), t)
+	if f.load[i].Add(1) > 2*farmSlots {
+		f.load[i].Add(-1)
+		return mwcall.Head{Code: mwcode.Overloaded}
+	}
+	defer f.load[i].Add(-1)
 	f.slots[i] <- struct{}{}
 	time.Sleep(f.work(i))
 	<-f.slots[i]
-	took := time.Since(start)
-	done(mwcall.Head{}, mwcall.Sample{First: took, Took: took})
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.took = append(f.took, took)
+	return mwcall.Head{}
 }
 
 // run loads f at a part of its capacity, through some nodes, and returns the
-// median and the 99th percentile after a second.
-func (f *farm) run(c *qt.C, name mwregistry.Name, load float64) (p50, p99 time.Duration) {
-	benches := make([]*bench, entries)
-	for i := range benches {
-		benches[i] = newBench(c, name)
+// 99th percentile after a second, and the part of the calls refused.
+func (f *farm) run(c *qt.C, name mwregistry.Name, load float64) (p99 time.Duration, refused float64) {
+	benches := make([]*bench, len(f.zones))
+	for i, z := range f.zones {
+		benches[i] = newBenchIn(c, name, z)
 	}
 	rate := load * float64(len(f.targets)*farmSlots) / workTime.Seconds()
 	gap := time.Duration(float64(time.Second) / rate)
@@ -123,15 +169,17 @@
 	for i := 0; time.Since(start) < runTime; i++ {
 		if i == int(rate) {
 			f.mu.Lock()
-			f.took = nil
+			f.took, f.refused = nil, 0
 			f.mu.Unlock()
 		}
-		wg.Go(func() { f.one(benches[i%entries]) })
+		at := i % len(benches)
+		wg.Go(func() { f.one(benches[at], f.zones[at]) })
 		time.Sleep(f.exp(gap))
 	}
 	wg.Wait()
 	slices.Sort(f.took)
-	return f.took[len(f.took)/2], f.took[len(f.took)*99/100]
+	n := float64(len(f.took))
+	return f.took[int(n*0.99)], float64(f.refused) / (n + float64(f.refused))
 }
 
 // router is the plug-in that TestSlowTargets measures; the bounds hold for
@@ -142,22 +190,25 @@
 	const seeds, load = 3, 0.5
 	tests := []struct {
 		name  string
+		zones []mwid.ZoneName
 		slow  factor
 		bound float64 // bound is the greatest p99 as a part of that with healthy targets.
 	}{
-		{"one in six is slow", oneSlow, 1.5},
-		{"short spells", spells, 6.5},
-		{"stragglers", stragglers, 2.5},
+		{"one in six is slow", oneZone, oneSlow, 1.5},
+		{"one in six is slow, a zone each", sixZones, oneSlow, 3},
+		{"short spells", oneZone, spells, 6.5},
+		{"short spells, a zone each", sixZones, spells, 6.5},
+		{"stragglers", oneZone, stragglers, 2.5},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			for seed := range uint64(seeds) {
 				synctest.Test(t, func(t *testing.T) {
 					c, name := qt.New(t), mwregistry.Name(*router)
-					_, h99 := newFarm(6, seed, healthy).run(c, name, load)
-					s50, s99 := newFarm(6, seed, test.slow).run(c, name, load)
+					h99, _ := newFarm(test.zones, seed, healthy).run(c, name, load)
+					s99, refused := newFarm(test.zones, seed, test.slow).run(c, name, load)
 					ratio := float64(s99) / float64(h99)
-					t.Logf("seed %d: healthy p99 %v, slow p50 %v, p99 %v: %.2f", seed, h99, s50, s99, ratio)
+					t.Logf("seed %d: p99 healthy %v, slow %v; refused %.4f, ratio %.2f", seed, h99, s99, refused, ratio)
 					c.Check(ratio <= test.bound || *router != "cost", qt.IsTrue)
 				})
 			}
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -29,7 +29,9 @@
 	latency time.Duration
 	// mean is the plain moving average, by which slow targets are found: one
 	// straggler among many answers must not eject a target.
-	mean      time.Duration
+	mean time.Duration
+	// floor is about the least latency: the way there and the quickest work.
+	floor     time.Duration
 	samples   int
 	seen      time.Time // seen is when latency was learnt last.
 	used      time.Time
@@ -41,6 +43,8 @@
 	slowUntil time.Time
 	excess    time.Duration // excess is the mean latency for which it was last found slow.
 	strikes   int           // strikes counts how often the target was found slow.
+	// trials are the good answers that it owes since, one call at a time.
+	trials int
 }
 
 const (
@@ -52,7 +56,7 @@
 	thresholdTTL = time.Second
 	// busyFor is how long a target that refused a call without a threshold
 	// counts as busy, where it does not say how long to wait.
-	busyFor = 200 * time.Millisecond
+	busyFor = 20 * time.Millisecond
 	// busyMax bounds the wait that a target can ask for.
 	busyMax = 2 * time.Second
 	// downFirst and downMax bound how long a target that can't be reached
@@ -72,12 +76,16 @@
 const (
 	// fit targets have room.
 	fit fitness = iota
+	// tardy targets have room and are slow at this moment.
+	tardy
 	// busy targets refused lately.
 	busy
 	// below targets are sure to refuse a call of this priority.
 	below
 	// down targets could not be reached lately.
 	down
+	// gone targets can't be picked.
+	gone
 )
 
 // fitness returns what a call of priority p can hope for at now.
@@ -94,13 +102,13 @@
 }
 
 // cost returns the latency to expect at now. While nothing is seen it goes
-// back to the median of the service, so that a target that was slow is tried
+// back to what is typical of the service, so that a target that was slow is tried
 // again.
-func (s *state) cost(median time.Duration, now time.Time) time.Duration {
+func (s *state) cost(typical time.Duration, now time.Time) time.Duration {
 	if s.samples == 0 {
-		return median
+		return typical
 	}
-	return median + time.Duration(fade(now.Sub(s.seen))*float64(s.latency-median))
+	return typical + time.Duration(fade(now.Sub(s.seen))*float64(s.latency-typical))
 }
 
 // fade returns the weight of what was seen age ago.
@@ -137,24 +145,24 @@
 }
 
 // load returns what a Score judges t by.
-func (s *state) load(t mwcall.Target, median, since time.Duration, now time.Time) Load {
+func (s *state) load(t mwcall.Target, typical, since time.Duration, now time.Time) Load {
 	return Load{
 		InFlight: s.inFlight, Slots: t.Slots,
-		Latency: max(s.cost(median, now), s.age(since)),
+		Latency: max(s.cost(typical, now), s.age(since)),
 	}
 }
 
 // end learns from one finished attempt.
-func (s *state) end(h mwcall.Head, m mwcall.Sample, now time.Time) {
+func (s *state) end(h mwcall.Head, m mwcall.Sample, began, now time.Time) {
 	if m.Cancelled && h.Code != mwcode.OK {
-		s.endCancelled(m, now)
+		s.endCancelled(m, began, now)
 		return
 	}
 	s.learnThreshold(h, now)
 	switch code := h.Code; {
 	case code == mwcode.OK:
 		s.failures, s.downUntil = 0, time.Time{}
-		s.learnLatency(m.First, now)
+		s.learnLatency(m.First, began, now)
 	case code == mwcode.ConnectFailed, code == mwcode.ConnectionLost, code == mwcode.Silent:
 		s.failures++
 		s.downUntil = now.Add(backoff(s.failures, downFirst, downMax))
@@ -167,9 +175,9 @@
 
 // endCancelled learns from an attempt that was cut off: it took at least as
 // long as was seen.
-func (s *state) endCancelled(m mwcall.Sample, now time.Time) {
+func (s *state) endCancelled(m mwcall.Sample, began, now time.Time) {
 	if m.First > s.cost(0, now) {
-		s.learnLatency(m.First, now)
+		s.learnLatency(m.First, began, now)
 	}
 }
 
@@ -186,18 +194,25 @@
 	s.threshold, s.learnt = h.Threshold, now
 }
 
-func (s *state) learnLatency(d time.Duration, now time.Time) {
+func (s *state) learnLatency(d time.Duration, began, now time.Time) {
 	s.latency = max(s.average(d, now), d)
 	if s.samples == 0 {
 		s.mean = d
 	}
-	if !now.Before(s.slowUntil) {
+	if !began.Before(s.slowUntil) {
 		s.mean += time.Duration(meanWeight * float64(d-s.mean))
 	}
+	if s.floor == 0 || d < s.floor {
+		s.floor = d
+	}
+	s.floor += (d - s.floor) / floorDivisor
 	s.samples++
 	s.seen = now
 }
 
+// floorDivisor makes the floor follow a way that got longer, slowly.
+const floorDivisor = 512
+
 // forgive is how many of its slow answer times a target must be in use
 // without being found slow again, on top of the time it was left out, until
 // its record is clean.
@@ -206,24 +221,41 @@
 // slowFloor is the latency below which nothing is slow.
 const slowFloor = 2 * time.Millisecond
 
-// judge finds out whether the target is slow against the median of its
-// service. A slow one is left out for a while and then judged by new answers
-// alone; late answers of before count for nothing.
-func (s *state) judge(median time.Duration, factor mwunit.Ratio, now time.Time) {
-	if s.samples < minSamples || median == 0 || now.Before(s.slowUntil) {
+// isSlow tells whether a latency of d is out of the ordinary.
+func isSlow(d, typical time.Duration, factor mwunit.Ratio) bool {
+	return d > slowFloor && float64(d) > float64(typical)*float64(factor)
+}
+
+// judge finds out whether the target is slow against typical, the latency
+// that its service has at that distance, from a call that took d and began at
+// began. A slow one is left out for a while, and then has to show by a few
+// calls, one at a time, that it is well; calls of before count for nothing.
+func (s *state) judge(d, typical time.Duration, factor mwunit.Ratio, began, now time.Time) {
+	if s.samples < minSamples || typical == 0 || began.Before(s.slowUntil) {
 		return
 	}
-	if s.mean > slowFloor && float64(s.mean) > float64(median)*float64(factor) {
+	if isSlow(s.mean, typical, factor) || s.trials > 0 && isSlow(d, typical, factor) {
 		s.strikes++
 		s.slowUntil = now.Add(backoff(s.strikes, slowFirst, slowMax))
-		s.excess, s.mean = s.mean, median
+		s.excess, s.mean = max(d, s.mean), typical
+		s.trials = trials
 		return
 	}
+	s.trials = max(s.trials-1, 0)
 	if now.Sub(s.slowUntil) > backoff(s.strikes, slowFirst, slowMax)+forgive*s.excess {
 		s.strikes = 0
 	}
 }
 
+// trials is how many good answers a target owes that was slow.
+const trials = 3
+
+// onTrial tells whether the target is to show by the call that it has that it
+// is well again.
+func (s *state) onTrial() bool {
+	return (s.trials > 0 || s.failures > 0) && s.inFlight > 0
+}
+
 // average returns the moving average with d, weighted by the time since the
 // last answer.
 func (s *state) average(d time.Duration, now time.Time) time.Duration {
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -47,8 +47,9 @@
 	n       int
 	made    time.Time
 	tiers   []tier
-	last    []mwcall.Target // last is what is used where nothing better is left.
-	median  time.Duration
+	last    []mwcall.Target                   // last is what is used where nothing better is left.
+	median  time.Duration                     // median is the median latency in this region's terms.
+	away    map[mwid.RegionName]time.Duration // away is how much longer the way to a region is.
 	ejected int
 }
 
@@ -78,7 +79,8 @@
 			all = append(all, seen{Target: t, state: look(keyOf(t))})
 		}
 	}
-	v.median = median(all)
+	v.away = away(here, all)
+	v.median = median(all, v.away)
 	v.ejected = eject(all, most, now)
 	v.place(here, all)
 	return v
@@ -97,7 +99,7 @@
 		}
 	}
 	for k, ss := range members {
-		t := tier{tierKey: k, cost: median(ss)}
+		t := tier{tierKey: k, cost: median(ss, nil)}
 		for _, s := range ss {
 			t.targets = append(t.targets, s.Target)
 		}
@@ -153,12 +155,13 @@
 // minSamples is how many answers of a target count as knowing its latency.
 const minSamples = 5
 
-// median returns the median of the mean latencies that are known, or 0.
-func median(all []seen) time.Duration {
+// median returns the median of the mean latencies that are known, each less
+// what away says of its region, or 0.
+func median(all []seen, away map[mwid.RegionName]time.Duration) time.Duration {
 	ds := make([]time.Duration, 0, len(all))
 	for _, s := range all {
 		if s.samples >= minSamples {
-			ds = append(ds, s.mean)
+			ds = append(ds, s.mean-away[s.Region])
 		}
 	}
 	if len(ds) == 0 {
@@ -168,6 +171,30 @@
 	return ds[(len(ds)-1)/2]
 }
 
+// away returns how much longer the way to each other region is, judged by the
+// least latencies. Without it, all targets of other regions would look slow.
+func away(here mwcall.Target, all []seen) map[mwid.RegionName]time.Duration {
+	floors := make(map[mwid.RegionName]time.Duration)
+	for _, s := range all {
+		if f, ok := floors[s.Region]; s.samples >= minSamples && (!ok || s.floor < f) {
+			floors[s.Region] = s.floor
+		}
+	}
+	least := floors[here.Region]
+	for r, f := range floors {
+		floors[r] = max(f-least, 0)
+	}
+	return floors
+}
+
+// typical returns the latency that a target like t has.
+func (v *view) typical(t mwcall.Target) time.Duration {
+	if v.median == 0 {
+		return 0
+	}
+	return v.median + v.away[t.Region]
+}
+
 // eject marks targets that are slow or can't be reached, the worst first, up
 // to most, the part of all that may be ejected; it returns how
 // many. What is not ejected for the bound stays in use: where most targets
