mwclaim: drive random schedules against the promises

Random schedules of lost answers, late writes, stale reads, cut links, restarts and paused claimants found a double run with run-first: a row that says NotRun is one claimant's word, and another first attempt may have run with no row. With run-first only first attempts run now; later ones get the kept answer or are held.

--- a/mwlib/mwclaim/acquire.go
+++ b/mwlib/mwclaim/acquire.go
@@ -62,23 +62,31 @@
 // without an error c may write its claim over the row.
 func (c *claim) judge(ctx context.Context, s seen) (done bool, err error) {
 	switch {
-	case !s.there && c.l.o.runFirst && !c.first:
-		return false, mwcode.New(mwcode.Held) // A first attempt may have run with no row.
 	case !s.there:
-		return false, nil
+		return false, c.unproven()
 	case s.rec.Call != c.rec.Call:
 		return false, mwcode.New(mwcode.KeyReused)
 	case s.rec.Claimant == c.rec.Claimant && s.rec.State == Claimed:
 		c.granted(s.rev)
 		return true, nil
 	case s.rec.State == NotRun:
-		return false, nil
+		return false, c.unproven()
 	case s.rec.State == Done:
 		return true, c.fetch(ctx, s.rec)
 	}
 	return false, mwcode.New(mwcode.Held)
 }
 
+// unproven returns the error of an attempt whose row shows no run. Where
+// first attempts may run without a row, that proves nothing to a later one:
+// also a row that says NotRun is one claimant's, and another may have run.
+func (c *claim) unproven() error {
+	if c.l.o.runFirst && !c.first {
+		return mwcode.New(mwcode.Held)
+	}
+	return nil
+}
+
 // giveUp ends a claim whose table can't be used. Where the claim may still
 // take effect, it is written down later that c did not run.
 func (c *claim) giveUp(sure bool) error {
--- /dev/null
+++ b/mwlib/mwclaim/history_test.go
@@ -0,0 +1,140 @@
+package mwclaim_test
+
+import (
+	"math"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// step is what an attempt asks of the ledger.
+type step int
+
+const (
+	acquire step = iota
+	release
+	finish
+)
+
+// input is one step of one attempt.
+type input struct {
+	step    step
+	attempt mwid.AttemptID
+}
+
+// result is what the ledger answered.
+type result int
+
+const (
+	done result = iota
+	held
+	replayed
+	unknown // The step may take effect at any time, or never.
+)
+
+// output is a result with the answer that was replayed.
+type output struct {
+	result result
+	kept   mwid.AttemptID
+}
+
+// outcomeOf returns the output of a step.
+func outcomeOf(cl mwkernel.Claim, err error) output {
+	if mwcode.Of(err) == mwcode.Held {
+		return output{result: held}
+	}
+	if err != nil {
+		return output{result: unknown}
+	}
+	if cl != nil {
+		if k, ok := cl.Kept(); ok {
+			return output{replayed, mwid.AttemptID(mwcall.Kept(k))}
+		}
+	}
+	return output{result: done}
+}
+
+// record adds one step to the history of its key.
+func (a *attempt) record(call int64, s step, out output) {
+	op := porcupine.Operation{
+		Input: input{s, a.c.Attempt}, Call: call, Output: out, Return: a.w.clock.Add(1),
+	}
+	if out.result == unknown {
+		op.Return = math.MaxInt64
+	}
+	a.w.mu.Lock()
+	defer a.w.mu.Unlock()
+	if s == acquire && out.result == unknown {
+		a.st.lost = append(a.st.lost, op)
+		op.Input = input{release, a.c.Attempt}
+		a.st.lost = append(a.st.lost, op)
+		return
+	}
+	a.st.history = append(a.st.history, op)
+}
+
+// maxLost bounds the steps without a known outcome that are tried in every
+// place of an order.
+const maxLost = 6
+
+// linear tells whether the history can be put in an order that the model
+// allows. An acquisition without a known outcome can only explain why others
+// were held; where there are too many to try, no Held needs to be explained.
+func (st *keyState) linear() bool {
+	if len(st.lost) <= maxLost {
+		return porcupine.CheckOperations(claims, append(st.lost, st.history...))
+	}
+	known := slices.DeleteFunc(slices.Clone(st.history), func(o porcupine.Operation) bool {
+		return o.Output.(output).result == held
+	})
+	return porcupine.CheckOperations(claims, known)
+}
+
+// row is the state of one key in the model.
+type row struct {
+	holder mwid.AttemptID
+	done   bool
+}
+
+// claims is the sequential model of one key: whoever acquires a free key
+// holds it until it releases or finishes it.
+var claims = (&porcupine.NondeterministicModel{
+	Init: func() []any { return []any{row{}} },
+	Step: func(state, in, out any) []any {
+		s, i, o := state.(row), in.(input), out.(output)
+		next, ok := s.after(i, o)
+		if o.result != unknown {
+			if !ok {
+				return nil
+			}
+			return []any{next}
+		}
+		if ok && next != s {
+			return []any{s, next}
+		}
+		return []any{s}
+	},
+	Equal: func(a, b any) bool { return a == b },
+}).ToModel()
+
+// after returns the state after a step, and whether the step can have its
+// output in state s.
+func (s row) after(i input, o output) (row, bool) {
+	mine := s.holder == i.attempt && !s.done
+	switch {
+	case o.result == held:
+		return s, s.holder != ""
+	case o.result == replayed:
+		return s, s.done && s.holder == o.kept
+	case i.step == acquire:
+		return row{holder: i.attempt}, s.holder == ""
+	case i.step == release:
+		return row{}, mine
+	}
+	return row{i.attempt, true}, mine
+}
--- a/mwlib/mwclaim/ledger_test.go
+++ b/mwlib/mwclaim/ledger_test.go
@@ -229,3 +229,56 @@
 	NotRun(ctx context.Context) error
 	Finish(ctx context.Context, k mwcall.Kept) error
 }
+
+// With run-first, an attempt that was refused may have a row that says so
+// while another first attempt ran with no row at all.
+func TestRunFirstRowsProveNothing(t *testing.T) {
+	inWorld(t, func(w world) {
+		refused, err := w.a.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(refused.NotRun(ctx(w)), qt.IsNil)
+		w.store.SetFaults(mwfakestore.Faults{Away: true})
+		ran, err := w.b.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(ran.Begin(), qt.IsNil)
+		w.store.SetFaults(mwfakestore.Faults{})
+		w.Assert(w.code(w.a, order("k", false)), qt.Equals, mwcode.Held)
+		w.Assert(ran.Finish(ctx(w), mwcall.Kept("answer")), qt.IsNil)
+		w.Assert(w.code(w.a, order("k", false)), qt.Equals, mwcode.OK)
+	}, mwclaim.WithRunFirst(true))
+}
+
+// A claimant that is paused until its deadline has passed must not run, and
+// the key is free for another.
+func TestPausedClaimant(t *testing.T) {
+	inWorld(t, func(w world) {
+		o := order("k", true)
+		o.Deadline = time.Now().Add(time.Second)
+		cl, err := w.a.Claim(ctx(w), o)
+		w.Assert(err, qt.IsNil)
+		time.Sleep(2 * time.Second)
+		w.Assert(mwcode.Of(cl.Begin()), qt.Equals, mwcode.DeadlinePassed)
+		w.Assert(mwcode.Of(cl.Begin()), qt.Equals, mwcode.Held)
+		time.Sleep(time.Second)
+		w.Assert(w.code(w.b, order("k", false)), qt.Equals, mwcode.OK)
+	})
+}
+
+// A claim's write that takes effect after its claimant gave up must not hold
+// the key for good, and must not undo a later claim.
+func TestLateWriteOfAClaimantThatGaveUp(t *testing.T) {
+	inWorld(t, func(w world) {
+		w.store.SetFaults(mwfakestore.Faults{Delay: time.Minute, Late: 1})
+		short, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := w.a.Claim(short, order("k", true))
+		w.Assert(mwcode.Of(err), qt.Equals, mwcode.ClaimsAway)
+		w.store.SetFaults(mwfakestore.Faults{})
+		time.Sleep(10 * time.Second)
+		cl, err := w.b.Claim(ctx(w), order("k", false))
+		w.Assert(err, qt.IsNil)
+		time.Sleep(2 * time.Minute)
+		w.Assert(cl.Begin(), qt.IsNil)
+		w.Assert(w.code(w.a, order("k", false)), qt.Equals, mwcode.Held)
+	})
+}
--- /dev/null
+++ b/mwlib/mwclaim/schedule_test.go
@@ -0,0 +1,179 @@
+package mwclaim_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+const (
+	scheduleNodes = 3
+	// settleTime is enough for every debt of a healed node.
+	settleTime = 5 * time.Minute
+)
+
+// ratio draws a part that is often 0.
+func ratio(rt *rapid.T, name string) mwunit.Ratio {
+	return mwunit.Ratio(rapid.SampledFrom([]float64{0, 0, 0, 0.3, 1}).Draw(rt, name))
+}
+
+func millis(rt *rapid.T, name string, most int) time.Duration {
+	return time.Duration(rapid.IntRange(0, most).Draw(rt, name)) * time.Millisecond
+}
+
+func drawFaults(rt *rapid.T, stale bool) mwfakestore.Faults {
+	f := mwfakestore.Faults{
+		Away: rapid.IntRange(0, 4).Draw(rt, "Away") == 0, Slow: rapid.IntRange(0, 5).Draw(rt, "Slow") == 0,
+		Delay: millis(rt, "Delay", 3000), Lost: ratio(rt, "Lost"), Dropped: ratio(rt, "Dropped"),
+		Late: ratio(rt, "Late"),
+	}
+	if stale {
+		f.Stale = ratio(rt, "Stale")
+	}
+	return f
+}
+
+func drawScript(rt *rapid.T) script {
+	return script{
+		Timeout: time.Second + millis(rt, "Timeout", 9000),
+		Pause:   millis(rt, "Pause", rapid.SampledFrom([]int{0, 100, 12000}).Draw(rt, "PauseMost")),
+		Refused: rapid.IntRange(0, 3).Draw(rt, "Refused") == 0,
+		Cut:     rapid.IntRange(0, 5).Draw(rt, "Cut") == 0,
+	}
+}
+
+// schedule drives a cluster through a random schedule and returns what was
+// wrong.
+func schedule(rt *rapid.T, unchecked bool) error {
+	runFirst := rapid.Bool().Draw(rt, "RunFirst")
+	stale := rapid.Bool().Draw(rt, "StaleReads")
+	seed := rapid.Uint64().Draw(rt, "Seed")
+	w, end := newCluster(scheduleNodes, seed, unchecked, mwclaim.WithRunFirst(runFirst))
+	defer end()
+	node := rapid.IntRange(0, scheduleNodes-1)
+	key := rapid.SampledFrom([]mwid.CallKey{"a", "b", "c"})
+	rt.Repeat(map[string]func(*rapid.T){
+		"submit": func(rt *rapid.T) { w.submit(key.Draw(rt, "Key"), node.Draw(rt, "Node"), drawScript(rt)) },
+		"submit at all": func(rt *rapid.T) {
+			k := key.Draw(rt, "Key")
+			for i := range w.nodes {
+				w.submit(k, i, drawScript(rt))
+			}
+		},
+		"faults":  func(rt *rapid.T) { w.store.SetFaults(drawFaults(rt, stale)) },
+		"heal":    func(*rapid.T) { w.store.SetFaults(mwfakestore.Faults{}) },
+		"cut":     func(rt *rapid.T) { w.links[node.Draw(rt, "Node")].cut.Store(true) },
+		"mend":    func(rt *rapid.T) { w.links[node.Draw(rt, "Node")].cut.Store(false) },
+		"restart": func(rt *rapid.T) { w.restart(node.Draw(rt, "Node")) },
+		"sleep":   func(rt *rapid.T) { time.Sleep(millis(rt, "Sleep", 5000)) },
+		"":        func(*rapid.T) { synctest.Wait() },
+	})
+	w.healAll()
+	if err := w.violation(); err != nil {
+		return err
+	}
+	if !stale && !runFirst {
+		if err := w.linear(); err != nil {
+			return err
+		}
+	}
+	if runFirst {
+		return nil // A key may be held for good.
+	}
+	return w.live()
+}
+
+func (w *cluster) healAll() {
+	w.store.SetFaults(mwfakestore.Faults{})
+	for _, l := range w.links {
+		l.cut.Store(false)
+	}
+	w.wg.Wait()
+	time.Sleep(settleTime)
+}
+
+// linear checks the history of each key against the model.
+func (w *cluster) linear() error {
+	for k, st := range w.keys {
+		if !st.linear() {
+			return fmt.Errorf("key %q: history can't be put in an order: %+v", k, st.history)
+		}
+	}
+	return nil
+}
+
+// live checks that no key is stuck that has no reason to be.
+func (w *cluster) live() error {
+	for k, st := range w.keys {
+		if st.tainted {
+			continue
+		}
+		c := order(k, false)
+		ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+		_, err := w.nodes[0].ledger.Claim(ctx, c)
+		cancel()
+		if err != nil {
+			return fmt.Errorf("key %q is stuck: %w", k, err)
+		}
+	}
+	return nil
+}
+
+// seeds are the seeds that a plain run of the tests uses.
+var seeds = []string{"1", "2", "3", "4", "5"}
+
+// eachSeed runs f with each seed, or once where the command line sets one.
+func eachSeed(t *testing.T, f func(t *testing.T)) {
+	fl := flag.Lookup("rapid.seed")
+	if fl.Value.String() != "0" {
+		f(t)
+		return
+	}
+	defer func() { _ = fl.Value.Set("0") }()
+	for _, s := range seeds {
+		_ = fl.Value.Set(s)
+		f(t)
+	}
+}
+
+// timeless hides the deadline of a test, which virtual time does not have.
+type timeless struct{ testing.TB }
+
+func TestSchedules(t *testing.T) {
+	eachSeed(t, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			rapid.Check(timeless{t}, func(rt *rapid.T) {
+				if err := schedule(rt, false); err != nil {
+					rt.Fatal(err)
+				}
+			})
+		})
+	})
+}
+
+// The schedules must find a table that leaves the claim check out.
+func TestSchedulesFindAPlantedFault(t *testing.T) {
+	eachSeed(t, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			found := 0
+			rapid.Check(timeless{t}, func(rt *rapid.T) {
+				if schedule(rt, true) != nil {
+					found++
+				}
+			})
+			qt.Assert(t, found > 0, qt.IsTrue)
+			t.Logf("found by %d schedules", found)
+		})
+	})
+}
--- /dev/null
+++ b/mwlib/mwclaim/world_test.go
@@ -0,0 +1,225 @@
+package mwclaim_test
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// link is a node's way to the store; it can be cut, and a planted fault
+// leaves the claim check out.
+type link struct {
+	mwstore.Store
+	cut       atomic.Bool
+	unchecked bool
+}
+
+func (l *link) Get(ctx context.Context, k mwstore.Key) (mwstore.Row, error) {
+	if l.cut.Load() {
+		return mwstore.Row{}, mwcode.New(mwcode.StoreAway)
+	}
+	return l.Store.Get(ctx, k)
+}
+
+func (l *link) Commit(ctx context.Context, t mwstore.Txn) (mwstore.Receipt, error) {
+	if l.cut.Load() {
+		return mwstore.Receipt{}, mwcode.New(mwcode.StoreAway)
+	}
+	if l.unchecked {
+		t.Checks = nil
+	}
+	r, err := l.Store.Commit(ctx, t)
+	if l.cut.Load() {
+		return mwstore.Receipt{}, mwcode.New(mwcode.StoreUnknown)
+	}
+	return r, err
+}
+
+// life is one life of a node.
+type life struct {
+	ledger *mwclaim.Ledger
+	end    func()
+	dead   atomic.Bool
+}
+
+// keyState is what is true of one key.
+type keyState struct {
+	runs      int
+	submitted int
+	notRun    int  // notRun counts attempts that were told NotRun.
+	tainted   bool // tainted tells that the key may rightly be stuck.
+	history   []porcupine.Operation
+	lost      []porcupine.Operation // lost are acquisitions with no known outcome.
+}
+
+// script is what becomes of one attempt.
+type script struct {
+	Timeout time.Duration // Timeout is the time that the caller gives.
+	Pause   time.Duration // Pause is the time between claim and hand-over.
+	Refused bool          // Refused tells that the hand-over fails.
+	Cut     bool          // Cut tells that no whole answer comes back.
+}
+
+// cluster is nodes that share a store, and callers, in virtual time.
+type cluster struct {
+	opts  []mwclaim.Option
+	store *mwfakestore.Store
+	links []*link
+	nodes []*life
+	wg    sync.WaitGroup
+	clock atomic.Int64
+
+	mu    sync.Mutex
+	keys  map[mwid.CallKey]*keyState
+	wrong error
+}
+
+// quiet discards what the ledgers log.
+var quiet = slog.New(slog.DiscardHandler)
+
+func newCluster(nodes int, seed uint64, unchecked bool, opts ...mwclaim.Option) (*cluster, func()) {
+	s, end := mwfakestore.New(mwfakestore.WithSeed(seed))
+	w := &cluster{
+		opts:  append(opts, mwclaim.WithLog(quiet)),
+		store: s, keys: make(map[mwid.CallKey]*keyState),
+	}
+	for range nodes {
+		w.links = append(w.links, &link{Store: s, unchecked: unchecked})
+		w.nodes = append(w.nodes, nil)
+		w.boot(len(w.nodes) - 1)
+	}
+	return w, func() {
+		w.wg.Wait()
+		for _, n := range w.nodes {
+			n.end()
+		}
+		end()
+	}
+}
+
+func (w *cluster) boot(i int) {
+	l, end := mwclaim.New(w.links[i], w.opts...)
+	w.nodes[i] = &life{ledger: l, end: end}
+}
+
+// restart ends a node and all that it holds, and starts it anew.
+func (w *cluster) restart(i int) {
+	w.nodes[i].dead.Store(true)
+	w.nodes[i].end()
+	w.mu.Lock()
+	for _, k := range w.keys {
+		k.tainted = true
+	}
+	w.mu.Unlock()
+	w.boot(i)
+}
+
+// submit starts one attempt of k at node i, as a caller that knows what it
+// was told does.
+func (w *cluster) submit(k mwid.CallKey, i int, sc script) {
+	w.mu.Lock()
+	st := w.keys[k]
+	if st == nil {
+		st = &keyState{}
+		w.keys[k] = st
+	}
+	first := st.submitted == st.notRun
+	st.submitted++
+	a := &attempt{w: w, st: st, node: w.nodes[i], sc: sc, nth: st.submitted, c: order(k, first)}
+	w.mu.Unlock()
+	w.wg.Go(a.run)
+}
+
+// attempt is one attempt by a caller.
+type attempt struct {
+	w    *cluster
+	st   *keyState
+	node *life
+	sc   script
+	nth  int
+	c    *mwcall.Call
+}
+
+func (a *attempt) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), a.sc.Timeout)
+	defer cancel()
+	a.c.Deadline, _ = ctx.Deadline()
+	call := a.w.clock.Add(1)
+	cl, err := a.node.ledger.Claim(ctx, a.c)
+	a.record(call, acquire, outcomeOf(cl, err))
+	if err != nil {
+		a.told(ctx, mwcode.Of(err))
+		return
+	}
+	if _, ok := cl.Kept(); ok {
+		return
+	}
+	time.Sleep(a.sc.Pause)
+	if a.node.dead.Load() {
+		return
+	}
+	if err := cl.Begin(); err != nil {
+		a.record(a.w.clock.Add(1), release, output{result: unknown})
+		a.told(ctx, mwcode.Of(err))
+		return
+	}
+	a.handOver(ctx, cl)
+}
+
+func (a *attempt) handOver(ctx context.Context, cl claimant) {
+	later := context.WithoutCancel(ctx)
+	call := a.w.clock.Add(1)
+	if a.sc.Refused {
+		err := cl.NotRun(later)
+		a.record(call, release, outcomeOf(nil, err))
+		a.told(ctx, mwcode.ConnectFailed)
+		return
+	}
+	a.w.mu.Lock()
+	a.st.runs++
+	if a.st.runs > 1 {
+		a.w.wrong = fmt.Errorf("key %q ran %d times", a.c.Key, a.st.runs)
+	}
+	a.st.tainted = a.st.tainted || a.sc.Cut
+	a.w.mu.Unlock()
+	if a.sc.Cut {
+		return
+	}
+	err := cl.Finish(later, mwcall.Kept(a.c.Attempt))
+	a.record(call, finish, outcomeOf(nil, err))
+}
+
+// told checks what the caller hears, where it is still there and has not
+// sent another attempt meanwhile.
+func (a *attempt) told(ctx context.Context, c mwcode.Code) {
+	a.w.mu.Lock()
+	defer a.w.mu.Unlock()
+	if !c.NotRun() {
+		return
+	}
+	if ctx.Err() == nil && a.st.submitted == a.nth && a.st.runs > 0 {
+		a.w.wrong = fmt.Errorf("key %q: told %v, and it ran", a.c.Key, c)
+	}
+	if ctx.Err() == nil {
+		a.st.notRun++
+	}
+}
+
+// violation returns what was seen to be wrong.
+func (w *cluster) violation() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.wrong
+}
