mwlimit: keep the limit where a lower one does not help

Cause: calls that waited for a slow deeper service raised the latency, and the limit fell though slots were free. Change: a window far from the limit changes nothing. Where the limit fell by a quarter and the latency did not ease, the limit goes back to where the fall began.

Policies have no state any more.

--- /dev/null
+++ b/mwlib/mwadmit/below_test.go
@@ -0,0 +1,46 @@
+package mwadmit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwadmit"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwregistry"
+)
+
+// TestSlownessBelowCostsNoCalls has calls that wait for a deeper service, six
+// times as long from second 3 to 8, and calls of the service's own. There are
+// slots for all of them.
+func TestSlownessBelowCostsNoCalls(t *testing.T) {
+	tests := []struct {
+		limiter mwregistry.Name
+		least   float64 // least is the least part that must be answered.
+	}{
+		{limiter: mwadmit.GradientName, least: 0.999},
+		{limiter: mwadmit.AIMDName, least: 0.94},
+	}
+	for _, test := range tests {
+		t.Run(string(test.limiter), func(t *testing.T) {
+			c := qt.New(t)
+			deep := demand{importance: browsing, length: mwconfig.Short, took: 15 * time.Millisecond, rate: steady(120), timeout: time.Second}
+			deep.slow = func(at time.Duration) float64 {
+				if at >= 3*time.Second && at < 8*time.Second {
+					return 6
+				}
+				return 1
+			}
+			own := rest(0.05)
+			for seed := range seeds() {
+				l := surgeLoad(mwadmit.AdaptiveName, test.limiter)
+				l.demands = []demand{deep, own}
+				r := run(t, l, seed)
+				t.Logf("seed %d: answered %.4f of the calls that wait below, %.4f of the others", seed, r[0].ratio(3, 8), r[1].ratio(3, 8))
+				c.Check(r[0].ratio(3, 8) >= test.least, qt.IsTrue)
+				c.Check(r[1].ratio(3, 8) >= test.least, qt.IsTrue)
+			}
+		})
+	}
+}
--- a/mwlib/mwadmit/load_test.go
+++ b/mwlib/mwadmit/load_test.go
@@ -61,6 +61,7 @@
 	timeout    time.Duration
 	tries      int
 	retired    mwconfig.Verdict
+	slow       func(at time.Duration) float64 // slow is how many times longer a call takes at a time.
 	path       string
 }
 
@@ -159,6 +160,9 @@
 		}
 		rep.sent[at]++
 		took := time.Duration((0.5 + rng.Float64()) * float64(d.took))
+		if d.slow != nil {
+			took = time.Duration(d.slow(time.Since(start)) * float64(took))
+		}
 		root := mwid.RootID(fmt.Sprint(d.importance, "-", rng.Uint64()))
 		r.wg.Go(func() { r.call(ctx, d, rep, root, at, took) })
 	}
--- a/mwlib/mwlimit/aimd.go
+++ b/mwlib/mwlimit/aimd.go
@@ -7,13 +7,11 @@
 
 // AIMD raises the limit by a small step while calls do not queue in the
 // backend server, and lowers it by a factor where they do. The queue time is
-// what the median latency has above its Floor.
-type AIMD struct {
-	floor Floor
-}
+// what the latency has above its floor.
+type AIMD struct{}
 
 // NewAIMD returns an AIMD.
-func NewAIMD() *AIMD { return &AIMD{} }
+func NewAIMD() AIMD { return AIMD{} }
 
 // Parameters of AIMD.
 const (
@@ -23,22 +21,19 @@
 	// aimdFactor lowers the limit.
 	aimdFactor = 0.9
 	// aimdTolerance is the queue time that is let pass, as a part of the
-	// Floor.
+	// floor.
 	aimdTolerance = 0.5
 	// aimdSlack is the queue time that is always let pass.
 	aimdSlack = 2 * time.Millisecond
 )
 
 // Next implements Policy.
-func (a *AIMD) Next(limit float64, w Window) float64 {
+func (AIMD) Next(limit float64, w Window) float64 {
 	if w.Shed > 0 {
 		return limit * aimdFactor
 	}
-	if w.Samples == 0 {
-		return limit
-	}
-	now, low := a.floor.Note(w)
-	if now-low > max(time.Duration(aimdTolerance*float64(low)), aimdSlack) {
+	allowed := max(time.Duration(aimdTolerance*float64(w.Floor)), aimdSlack)
+	if w.Latency-w.Floor > allowed {
 		return limit * aimdFactor
 	}
 	return limit + aimdStep*math.Sqrt(limit)
--- a/mwlib/mwlimit/gradient.go
+++ b/mwlib/mwlimit/gradient.go
@@ -5,17 +5,15 @@
 // Gradient follows the ratio between the latency without queueing and the
 // latency now. It allows a queue that grows with the root of the limit, so
 // that the limit can rise while the latency is near its floor.
-type Gradient struct {
-	floor Floor
-}
+type Gradient struct{}
 
 // NewGradient returns a Gradient.
-func NewGradient() *Gradient { return &Gradient{} }
+func NewGradient() Gradient { return Gradient{} }
 
 // Parameters of Gradient.
 const (
 	// gradientTolerance is the latency that counts as no queueing, as a
-	// multiple of the Floor.
+	// multiple of the floor.
 	gradientTolerance = 1.5
 	// gradientLeast bounds the decrease for one window.
 	gradientLeast = 0.5
@@ -26,15 +24,14 @@
 )
 
 // Next implements Policy.
-func (g *Gradient) Next(limit float64, w Window) float64 {
+func (Gradient) Next(limit float64, w Window) float64 {
 	if w.Shed > 0 {
 		return blend(limit, limit*gradientShed, gradientSmooth)
 	}
-	if w.Samples == 0 {
+	if w.Latency == 0 {
 		return limit
 	}
-	now, low := g.floor.Note(w)
-	ratio := gradientTolerance * float64(low) / float64(now)
+	ratio := gradientTolerance * float64(w.Floor) / float64(w.Latency)
 	ratio = min(max(ratio, gradientLeast), 1)
 	return blend(limit, limit*ratio+math.Sqrt(limit), gradientSmooth)
 }
--- a/mwlib/mwlimit/limiter.go
+++ b/mwlib/mwlimit/limiter.go
@@ -19,7 +19,11 @@
 //
 // Samples are gathered into windows, and P sees whole windows only: one slow
 // call says little. A window in which the calls stayed far below the limit
-// tells nothing of the limit and can't raise it.
+// tells nothing of the limit and does not change it.
+//
+// Latency rises where calls queue in the backend server, and also where a
+// deeper service or a neighbour on the machine is slow. Only in the first
+// case does a lower limit help; descent tells the cases apart.
 //
 // A Limiter is not safe for concurrent use; its owner has a lock.
 type Limiter[P Policy] struct {
@@ -28,6 +32,8 @@
 	lowest float64
 	most   float64
 	limit  float64
+	floor  floor
+	fall   descent
 	win    Window
 	times  []time.Duration // times are of the first windowTimes samples of win.
 	opened time.Time
@@ -43,9 +49,13 @@
 type Window struct {
 	// Samples counts the calls.
 	Samples int
-	// Median is of the time from the hand-over to the head of the answer. A
-	// few stragglers do not move it.
-	Median time.Duration
+	// Median is of the time from the hand-over to the head of the answer; a
+	// few stragglers do not move it. Latency is the same smoothed over
+	// windows.
+	Median  time.Duration
+	Latency time.Duration
+	// Floor is the latency without queueing.
+	Floor time.Duration
 	// Shed counts calls that the backend server itself refused.
 	Shed int
 	// Peak is the greatest number of calls in flight.
@@ -143,16 +153,28 @@
 // close ends the window and lets the policy judge it.
 func (l *Limiter[P]) close(now time.Time) {
 	w := l.win
+	w.Full = float64(w.Peak) >= fullRatio*l.limit
+	w.Light = float64(w.Peak) <= max(1, lightRatio*l.slots)
 	if w.Samples > 0 {
 		slices.Sort(l.times)
 		w.Median = l.times[len(l.times)/2]
+		w.Latency, w.Floor = l.floor.note(w.Median, w.Light)
 	}
 	l.win, l.times, l.opened = Window{}, l.times[:0], now
-	w.Full = float64(w.Peak) >= fullRatio*l.limit
-	w.Light = float64(w.Peak) <= max(1, lightRatio*l.slots)
-	next := l.policy.Next(l.limit, w)
-	if next > l.limit && !w.Full {
-		return
+	if w.Full || w.Shed > 0 {
+		l.follow(w)
+	}
+}
+
+// follow sets the limit that the policy wants after w. Where a lower limit
+// did not ease the latency, it goes back to where the fall began, and the
+// latency counts as the one without queueing from then on.
+func (l *Limiter[P]) follow(w Window) {
+	next := min(max(l.policy.Next(l.limit, w), l.lowest), l.most)
+	if w.Shed == 0 && l.fall.futile(l.limit, next, w.Median) {
+		next = min(l.fall.from, l.most)
+		l.fall = descent{}
+		l.floor.accept()
 	}
-	l.limit = min(max(next, l.lowest), l.most)
+	l.limit = next
 }
