--- /dev/null
+++ b/mwbench/internal/mwexperiment/config.go
@@ -0,0 +1,169 @@
+package mwexperiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwbench/internal/mwtestbed"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+func init() { mwscenario.Register("config", runConfig) }
+
+// Changes of the scenario.
+const (
+	configChanges          = 12
+	configChangesShort     = 3
+	configTarget           = 5
+	configWait             = 15 * time.Second
+	configLook             = 5 * time.Millisecond
+	configAway             = 3 * time.Second
+	configAwayShort        = 500 * time.Millisecond
+	configRank         int = 7
+)
+
+// runConfig has operators change policies while the store is away at times,
+// and nodes that start while it is away.
+func runConfig(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	if !e.Treated() {
+		return nil, nil // The baseline has no configuration of its own.
+	}
+	p := e.Profile
+	service := serviceOf(p.Browse, work(p.Browse))
+	t, end, err := newTrial(ctx, e, mwtestbed.Spec{
+		Services: []mwtestbed.Service{service, serviceOf(p.Order, work(p.Order))}, Works: standardWorks(p),
+	}, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	c := &config{trial: t, service: service, seen: make(map[mwid.NodeID]mwid.Version)}
+	if err := c.run(ctx); err != nil {
+		return nil, err
+	}
+	return c.measures(), nil
+}
+
+// config is one run.
+type config struct {
+	*trial
+	service   mwtestbed.Service
+	spread    []time.Duration // spread is the time of each change to all nodes.
+	boot      time.Duration   // boot is the time of a node that starts without the store.
+	reversals int
+	seen      map[mwid.NodeID]mwid.Version
+}
+
+func (c *config) run(ctx context.Context) error {
+	n := configChanges
+	if c.env.Short {
+		n = configChangesShort
+	}
+	for i := range n {
+		if err := c.change(ctx, i); err != nil {
+			return err
+		}
+	}
+	if err := c.startAway(ctx); err != nil {
+		return err
+	}
+	return c.change(ctx, n)
+}
+
+// change applies change number i and waits until it is in force everywhere.
+func (c *config) change(ctx context.Context, i int) error {
+	w := mwtestbed.Work{Name: "changing", PathPrefix: "/changing", Policy: mwconfig.Policy{
+		Rank: configRank, Importance: ptr(mwunit.Importance(i)),
+	}}
+	if err := c.bed.Apply(ctx, w); err != nil {
+		return err
+	}
+	d, err := c.await(ctx)
+	if err != nil {
+		return err
+	}
+	c.spread = append(c.spread, d)
+	return nil
+}
+
+// startAway starts a node while the store is away, so that it has to take
+// the configuration from others.
+func (c *config) startAway(ctx context.Context) error {
+	c.bed.Store().SetFaults(mwfakestore.Faults{Away: true})
+	defer c.bed.Store().SetFaults(mwfakestore.Faults{})
+	timer := time.NewTimer(c.env.Phase(configAway, configAwayShort))
+	defer timer.Stop()
+	var g errgroup.Group
+	g.Go(func() error {
+		_, err := c.bed.Start(c.service, 0)
+		if err != nil {
+			return err
+		}
+		c.boot, err = c.await(ctx)
+		return err
+	})
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.Wait()
+}
+
+// await returns how long it took until all nodes had the newest version.
+func (c *config) await(ctx context.Context) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, configWait)
+	defer cancel()
+	start := time.Now()
+	tick := time.NewTicker(configLook)
+	defer tick.Stop()
+	for !c.look() {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return 0, fmt.Errorf("version %d is not in force everywhere: %w", c.bed.Version(), ctx.Err())
+		}
+	}
+	return time.Since(start), nil
+}
+
+// look tells whether all nodes have the newest version, and counts those
+// that went back.
+func (c *config) look() bool {
+	all := true
+	for _, t := range c.bed.All() {
+		k := t.Host.Kernel()
+		var v mwid.Version
+		if s := k.Configuration().Snapshot(); s != nil {
+			v = s.Version()
+		}
+		if v < c.seen[k.Self().Node] {
+			c.reversals++
+		}
+		c.seen[k.Self().Node] = v
+		all = all && v >= c.bed.Version()
+	}
+	return all
+}
+
+func (c *config) measures() []mwfigure.Measure {
+	var longest time.Duration
+	for _, d := range c.spread {
+		longest = max(longest, d)
+	}
+	e := c.env
+	return []mwfigure.Measure{
+		e.Measure("LongestSpread", mwfigure.Seconds, mwfigure.Value(longest.Seconds()), mwfigure.AtMost(configTarget)),
+		e.Measure("StartWithoutStore", mwfigure.Seconds, mwfigure.Value(c.boot.Seconds()), mwfigure.AtMost(configTarget)),
+		e.Measure("Reversals", mwfigure.Count, mwfigure.Value(c.reversals), mwfigure.AtMost(0)),
+		e.Measure("Changes", mwfigure.Count, mwfigure.Value(len(c.spread)), mwfigure.Target{}),
+		e.Measure("Nodes", mwfigure.Count, mwfigure.Value(len(c.bed.All())), mwfigure.Target{}),
+	}
+}
