mwbench: give downloads one retry, and fit short runs

A download that a leaving target refused had no retry left to go to another target with, so that the scenario drain counted a refusal by its own policy. In short runs downloads took 400 ms, which history rightly calls medium.

--- a/mwbench/internal/mwexperiment/blocking.go
+++ b/mwbench/internal/mwexperiment/blocking.go
@@ -24,13 +24,13 @@
 
 // Long downloads want longPart of all slots, and short work shortPart.
 const (
-	longTime                 = 1500 * time.Millisecond
-	longTimeShort            = 400 * time.Millisecond
-	longTimeout              = 10 * time.Second
-	longTimeoutShort         = 1500 * time.Millisecond
-	longBody    mwunit.Bytes = 512 << 10
-	longPart    mwunit.Ratio = 1.2
-	shortPart   mwunit.Ratio = 0.3
+	longTime                      = 1500 * time.Millisecond
+	longTimeShort                 = 1100 * time.Millisecond
+	longTimeout                   = 10 * time.Second
+	longTimeoutShort              = 1500 * time.Millisecond
+	longBody         mwunit.Bytes = 512 << 10
+	longPart         mwunit.Ratio = 1.2
+	shortPart        mwunit.Ratio = 0.3
 )
 
 func runBlocking(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
@@ -63,10 +63,10 @@
 }
 
 func newBlocking(t *trial) *blocking {
-	warm := t.env.Phase(time.Second, 300*time.Millisecond)
-	d := t.env.Phase(4*time.Second, 600*time.Millisecond)
+	warm := t.env.Phase(time.Second, 200*time.Millisecond)
+	d := t.env.Phase(4*time.Second, 400*time.Millisecond)
 	// Downloads come for a while before they count.
-	fill := t.env.Phase(2*time.Second, 400*time.Millisecond)
+	fill := t.env.Phase(2*time.Second, 500*time.Millisecond)
 	return &blocking{
 		trial:  t,
 		alone:  mwload.Span{From: warm, To: warm + d},
--- a/mwbench/internal/mwexperiment/drain.go
+++ b/mwbench/internal/mwexperiment/drain.go
@@ -28,7 +28,7 @@
 	drainTimeout                  = 10 * time.Second
 	lateTarget                    = 3
 	leavePeriod                   = 1500 * time.Millisecond
-	leavePeriodShort              = 300 * time.Millisecond
+	leavePeriodShort              = 200 * time.Millisecond
 )
 
 func runDrain(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
@@ -51,7 +51,7 @@
 	cl, endClient := mwclient.New(t.bed.EntriesOf(p.Browse.Service)...)
 	defer endClient()
 	t.client = cl
-	r := &draining{trial: t, service: leaving, end: e.Phase(12*time.Second, 2500*time.Millisecond)}
+	r := &draining{trial: t, service: leaving, end: e.Phase(12*time.Second, 2*time.Second)}
 	if err := r.run(ctx); err != nil {
 		return nil, err
 	}
--- a/mwbench/internal/mwexperiment/standard.go
+++ b/mwbench/internal/mwexperiment/standard.go
@@ -23,6 +23,9 @@
 const (
 	fewRetries  mwunit.Attempts = 2
 	orderBudget mwunit.Attempts = 2
+	// downloadBudget lets a download that a leaving target refused go to
+	// another one.
+	downloadBudget mwunit.Attempts = 1
 )
 
 // Paths of kinds of work.
@@ -46,7 +49,7 @@
 			Importance: ptr(proofImportance), Repeatable: ptr(true), Retries: ptr(fewRetries),
 		}},
 		{Name: "downloads", PathPrefix: longPath, Policy: mwconfig.Policy{
-			Importance: ptr(downloadImportance), Repeatable: ptr(true), Length: mwconfig.Long, Retries: ptr(mwunit.Attempts(0)),
+			Importance: ptr(downloadImportance), Repeatable: ptr(true), Length: mwconfig.Long, Retries: ptr(downloadBudget),
 		}},
 	}
 }
