mwretry: count tokens exactly, and learn hedge delays from what was cut off

Ten successes at a ratio of 0.1 earned no whole token, since the sum of fractions fell short of 1; tokens are counted in millionths now. The estimate of the 95th percentile moved up only to what was seen, and an attempt cut off at the hedge's delay shows just that delay: 9831 of 10000 calls were hedged in the end.

How much of a balance goes down is a type parameter.

--- a/mwlib/mwbudget/tokens.go
+++ b/mwlib/mwbudget/tokens.go
@@ -1,6 +1,7 @@
 package mwbudget
 
 import (
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -25,10 +26,16 @@
 }
 
 type bucket struct {
-	tokens float64
+	tokens micros
 	used   time.Time
 }
 
+// micros counts millionths of a token. Sums of fractions are exact that way:
+// ten times a tenth is a whole token.
+type micros int64
+
+const token micros = 1e6
+
 // Defaults of Tokens.
 const (
 	DefaultReserve               = 10
@@ -38,7 +45,7 @@
 )
 
 type tokenOptions struct {
-	reserve float64
+	reserve micros
 	keys    int64
 	idle    time.Duration
 }
@@ -48,7 +55,7 @@
 
 // WithReserve sets how many tokens a bucket holds at most, and at first.
 func WithReserve(n mwunit.Attempts) TokenOption {
-	return func(o *tokenOptions) { o.reserve = float64(n) }
+	return func(o *tokenOptions) { o.reserve = micros(n) * token }
 }
 
 // WithKeys sets how many keys have a bucket of their own.
@@ -59,22 +66,23 @@
 
 // NewTokens returns Tokens with full buckets.
 func NewTokens[K comparable](opts ...TokenOption) *Tokens[K] {
-	o := tokenOptions{reserve: DefaultReserve, keys: DefaultKeys, idle: DefaultIdle}
+	o := tokenOptions{reserve: DefaultReserve * token, keys: DefaultKeys, idle: DefaultIdle}
 	mwoption.Apply(&o, opts...)
 	return &Tokens[K]{opt: o, m: mwshard.New[K, bucket](mwshard.DefaultShards)}
 }
 
 // Earn puts n tokens into the bucket of k.
 func (t *Tokens[K]) Earn(k K, n mwunit.Ratio, now time.Time) {
-	t.change(k, now, func(b *bucket) { b.tokens = min(b.tokens+float64(n), t.opt.reserve) })
+	earned := micros(math.Round(float64(n) * float64(token)))
+	t.change(k, now, func(b *bucket) { b.tokens = min(b.tokens+earned, t.opt.reserve) })
 }
 
 // Spend takes one token from the bucket of k and tells whether there was one.
 func (t *Tokens[K]) Spend(k K, now time.Time) bool {
 	ok := false
 	t.change(k, now, func(b *bucket) {
-		if b.tokens >= 1 {
-			b.tokens--
+		if b.tokens >= token {
+			b.tokens -= token
 			ok = true
 		}
 	})
@@ -87,7 +95,7 @@
 	if !ok || t.opt.reserve <= 0 {
 		return 1
 	}
-	return mwunit.Ratio(b.tokens / t.opt.reserve)
+	return mwunit.Ratio(b.tokens) / mwunit.Ratio(t.opt.reserve)
 }
 
 // Len returns the number of buckets.
--- a/mwlib/mwkernel/chain_test.go
+++ b/mwlib/mwkernel/chain_test.go
@@ -15,6 +15,7 @@
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwregistry"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwunit"
 )
@@ -94,17 +95,22 @@
 	return false
 }
 
-// run sends one request through a chain and returns what happened.
-func (ch *chain) run(t *testing.T, policy func(*mwsetting.Node)) (*world, *exchange) {
-	c := qt.New(t)
-	w := newWorld(c, ch.handle)
+// start makes the nodes of a chain and returns the one that calls enter at.
+func (ch *chain) start(t *testing.T, policy func(*mwsetting.Node)) *node {
+	w := newWorld(qt.New(t), ch.handle)
 	w.class.Retries = ch.budget
 	for i := range depth {
 		for range ch.replicas {
 			w.add(level(i), policy)
 		}
 	}
-	entry := w.add("", policy)
+	return w.add("", policy)
+}
+
+// run sends one request through a chain and returns what happened.
+func (ch *chain) run(t *testing.T, policy func(*mwsetting.Node)) (*world, *exchange) {
+	entry := ch.start(t, policy)
+	w := entry.w
 	ex := entry.call(context.Background(), mwcall.Call{Service: level(0)})
 	time.Sleep(w.class.Deadline) // What was cancelled ends too.
 	synctest.Wait()
@@ -175,3 +181,41 @@
 		})
 	}
 }
+
+// TestGoodputOfAChain compares how policies spend a budget of 3 on requests
+// that go through 17 services, where some calls fail and some answers get
+// lost on their way.
+func TestGoodputOfAChain(t *testing.T) {
+	const requests, budget = 300, 3
+	tests := []struct {
+		policy mwregistry.Name
+		lost   float64
+		least  float64 // least is the least part of the requests that must end well.
+	}{
+		{"chain", 0, 0.95}, {"chainhalf", 0, 0}, {"perhop", 0, 0}, {"off", 0, 0},
+		{"chain", 0.02, 0.8}, {"chainhalf", 0.02, 0}, {"perhop", 0.02, 0}, {"off", 0.02, 0},
+	}
+	for _, test := range tests {
+		t.Run(fmt.Sprintf("%s, %v lost", test.policy, test.lost), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ch := newChain(weather{budget: budget, replicas: 3, fanOut: 1, failing: 0.02})
+				entry := ch.start(t, func(s *mwsetting.Node) { s.Plugins.Retry = test.policy })
+				loss := rand.New(rand.NewPCG(1, 0))
+				entry.w.lossy = func() bool { return loss.Float64() < test.lost }
+				good := 0
+				for range requests {
+					ex := entry.call(context.Background(), mwcall.Call{Service: level(0)})
+					if ex.err == nil && !ex.head.Failed {
+						good++
+					}
+				}
+				retries := entry.w.count("mw_retries_total")
+				t.Logf("good %.3f, retries a request %.3f, at the bottom %d",
+					float64(good)/requests, float64(retries)/requests, ch.arrivals[level(depth-1)])
+				c := qt.New(t)
+				c.Check(float64(good)/requests >= test.least, qt.IsTrue)
+				c.Check(test.policy == "perhop" || retries <= budget*requests, qt.IsTrue)
+			})
+		})
+	}
+}
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -31,6 +31,7 @@
 type world struct {
 	*qt.C
 	handle handler
+	lossy  func() bool // lossy tells that the answer of another node gets lost.
 	class  mwcall.Class
 	claim  *claim
 	slots  mwunit.Slots
@@ -172,6 +173,10 @@
 	}
 	a := e.answer(in.head)
 	a.over = in.over
+	if e.w.lossy != nil && e.w.lossy() {
+		a.Drop()
+		return nil, mwcode.New(mwcode.ConnectionLost)
+	}
 	return a, nil
 }
 
--- a/mwlib/mwretry/chain.go
+++ b/mwlib/mwretry/chain.go
@@ -1,5 +1,6 @@
 // Package mwretry holds the retry policies: plug-in "chain", which spends one
-// budget over the whole chain of calls, and the baselines "perhop" and "off".
+// budget over the whole chain of calls, "chainhalf", which keeps half of it at
+// each hop, and the baselines "perhop" and "off".
 package mwretry
 
 import (
@@ -24,10 +25,11 @@
 // if each single request had some left. A caller's own resubmissions have a
 // bucket too, filled by the caller's first calls.
 //
-// Chain gives the whole balance down with each attempt: what is not used
-// comes back with the answer, and the hop next to a fault, which retries at
-// the least cost, has the means to.
-type Chain struct {
+// S decides how much of the balance goes down with each attempt. Plug-in
+// "chain" gives all: what is not used comes back with the answer, and the hop
+// next to a fault, which retries at the least cost, has the means to.
+type Chain[S mwbudget.Split] struct {
+	split    S
 	ratio    mwunit.Ratio
 	hedge    bool
 	services *mwbudget.Tokens[mwid.ServiceName]
@@ -42,12 +44,13 @@
 }
 
 func init() {
-	mwkernel.RetryPolicies.Register("chain", newChain)
+	mwkernel.RetryPolicies.Register("chain", newChain[mwbudget.All])
+	mwkernel.RetryPolicies.Register("chainhalf", newChain[mwbudget.Half])
 }
 
-func newChain(env mwkernel.Env) (mwkernel.RetryPolicy, mwregistry.Cleanup, error) {
+func newChain[S mwbudget.Split](env mwkernel.Env) (mwkernel.RetryPolicy, mwregistry.Cleanup, error) {
 	set := env.Settings.Retry
-	return &Chain{
+	return &Chain[S]{
 		ratio: set.TokenRatio,
 		hedge: set.Hedge,
 		services: mwbudget.NewTokens[mwid.ServiceName](
@@ -63,7 +66,7 @@
 }
 
 // Start returns the budget of a root call.
-func (p *Chain) Start(c *mwcall.Call) (mwunit.Attempts, error) {
+func (p *Chain[S]) Start(c *mwcall.Call) (mwunit.Attempts, error) {
 	now := time.Now()
 	if !c.Resubmitted {
 		p.callers.Earn(c.Caller, c.Class.CallerRatio, now)
@@ -76,13 +79,15 @@
 	return c.Class.Retries, nil
 }
 
-// Share gives the whole balance down.
-func (p *Chain) Share(_ *mwcall.Call, balance mwunit.Attempts) mwunit.Attempts { return balance }
+// Share returns the part of balance that S gives down.
+func (p *Chain[S]) Share(_ *mwcall.Call, balance mwunit.Attempts) mwunit.Attempts {
+	return p.split.Of(balance)
+}
 
 // Allow spends a token of the target service. A target that says that it
 // takes no new work tells nothing of the service's load, so trying another
 // one costs no token.
-func (p *Chain) Allow(c *mwcall.Call, h mwcall.Head) bool {
+func (p *Chain[S]) Allow(c *mwcall.Call, h mwcall.Head) bool {
 	if h.Code == mwcode.Draining || h.Code == mwcode.NoBackend {
 		return true
 	}
@@ -94,7 +99,7 @@
 }
 
 // Succeeded fills the bucket of the target service.
-func (p *Chain) Succeeded(c *mwcall.Call) {
+func (p *Chain[S]) Succeeded(c *mwcall.Call) {
 	p.services.Earn(c.Service, p.ratio, time.Now())
 }
 
@@ -103,7 +108,7 @@
 const hedgeReserve mwunit.Ratio = 0.5
 
 // HedgeAfter returns the 95th percentile of the answer times of c.Service.
-func (p *Chain) HedgeAfter(c *mwcall.Call) (time.Duration, bool) {
+func (p *Chain[S]) HedgeAfter(c *mwcall.Call) (time.Duration, bool) {
 	if !p.hedge || !c.Class.Repeatable || c.Class.Length != mwconfig.Short {
 		return 0, false
 	}
@@ -114,9 +119,9 @@
 }
 
 // Observe learns from the answer time of an attempt.
-func (p *Chain) Observe(c *mwcall.Call, s mwcall.Sample) {
+func (p *Chain[S]) Observe(c *mwcall.Call, s mwcall.Sample) {
 	if !p.hedge || c.Class.Length != mwconfig.Short {
 		return
 	}
-	p.times.observe(c.Service, s, time.Now())
+	p.times.observe(c.Service, s)
 }
--- a/mwlib/mwretry/latency.go
+++ b/mwlib/mwretry/latency.go
@@ -14,25 +14,24 @@
 // step up for each slower answer and a smaller step down for each faster one.
 // It needs two numbers a service, no histogram.
 type latencies struct {
-	m *mwshard.Map[mwid.ServiceName, quantile]
+	m *mwshard.Cache[mwid.ServiceName, quantile]
 }
 
 type quantile struct {
 	value float64 // value is the estimate in nanoseconds.
 	seen  int
-	used  time.Time
 }
 
 const (
 	quantileOf    = 0.95
-	quantileStep  = 0.05 // quantileStep is the step as a part of the estimate.
+	quantileStep  = 0.1 // quantileStep is the sum of a step up and one down, as a part of the estimate.
 	minSamples    = 50
 	minHedgeDelay = time.Millisecond
-	maxServices   = 4096
+	services      = 2048 // services is about how many services are kept in mind.
 )
 
 func newLatencies() *latencies {
-	return &latencies{m: mwshard.New[mwid.ServiceName, quantile](mwshard.DefaultShards)}
+	return &latencies{m: mwshard.NewCache[mwid.ServiceName, quantile](services)}
 }
 
 func (l *latencies) p95(s mwid.ServiceName) (time.Duration, bool) {
@@ -48,17 +47,15 @@
 // seen: above the estimate that is known to be slow, below it nothing is
 // known. Without the former, hedging would cut off the slow answers that its
 // own delay is learnt from.
-func (l *latencies) observe(s mwid.ServiceName, m mwcall.Sample, now time.Time) {
+func (l *latencies) observe(s mwid.ServiceName, m mwcall.Sample) {
 	if m.Code != mwcode.OK && !m.Cancelled {
 		return
 	}
-	l.m.Update(s, func(q quantile, ok bool) (quantile, bool) {
-		q.used = now
-		if m.Cancelled && (!ok || float64(m.First) <= q.value) {
-			return q, ok
+	l.m.Update(s, func(q quantile) quantile {
+		if !m.Cancelled || q.seen > 0 && float64(m.First) > q.value {
+			q.add(float64(m.First))
 		}
-		q.add(float64(m.First))
-		return q, true
+		return q
 	})
 }
 
@@ -68,10 +65,9 @@
 		q.value = v
 		return
 	}
-	step := q.value * quantileStep
 	if v > q.value {
-		q.value += min(step*quantileOf/(1-quantileOf), v-q.value)
+		q.value += q.value * quantileStep * quantileOf
 		return
 	}
-	q.value -= min(step, q.value-v)
+	q.value -= q.value * quantileStep * (1 - quantileOf)
 }
