mwstoreclient: spare the platform's store

All nodes share several hundred writes and two thousand reads a second, and none knows how many others there are.

Writes without an answer are never sent again; only their sender can read back what became of them.

--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -58,6 +58,9 @@
 type Store struct {
 	Address mwid.Address  `long:"address" env:"ADDRESS" description:"address of the platform's store, IP:port; empty runs without"`
 	Timeout time.Duration `long:"timeout" env:"TIMEOUT" default:"2s" description:"longest wait for one answer of the store"`
+
+	Reads  mwunit.PerSecond `long:"reads" env:"READS" default:"100" description:"greatest rate of reads by this node, a second; it goes slower while the store refuses some"`
+	Writes mwunit.PerSecond `long:"writes" env:"WRITES" default:"50" description:"greatest rate of writes by this node, a second; it goes slower while the store refuses some"`
 }
 
 // Member says how nodes find each other.
--- /dev/null
+++ b/mwlib/mwstoreclient/client_test.go
@@ -0,0 +1,154 @@
+package mwstoreclient_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwstoreclient"
+)
+
+// inClient runs f in virtual time with a client of a stand-in.
+func inClient(t *testing.T, f func(*qt.C, *mwfakestore.Store, *mwstoreclient.Client), opts ...mwstoreclient.Option) {
+	synctest.Test(t, func(t *testing.T) {
+		s, end := mwfakestore.New()
+		defer end()
+		cl, endClient := mwstoreclient.New(s, opts...)
+		defer endClient()
+		f(qt.New(t), s, cl)
+	})
+}
+
+func TestDeadline(t *testing.T) {
+	inClient(t, func(c *qt.C, s *mwfakestore.Store, cl *mwstoreclient.Client) {
+		s.SetFaults(mwfakestore.Faults{Delay: time.Hour})
+		start := time.Now()
+		_, err := cl.Commit(context.Background(), mwstore.Txn{})
+		c.Assert(mwcode.Of(err), qt.Equals, mwcode.StoreUnknown)
+		c.Assert(time.Since(start), qt.Equals, time.Second)
+	}, mwstoreclient.WithTimeout(time.Second))
+}
+
+// A write without an answer must never be sent a second time.
+func TestWritesAreNotRepeated(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults mwfakestore.Faults
+		want   int
+	}{
+		{"answer lost", mwfakestore.Faults{Lost: 1}, 1},
+		{"request lost", mwfakestore.Faults{Dropped: 1}, 1},
+		{"away", mwfakestore.Faults{Away: true}, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inClient(t, func(c *qt.C, s *mwfakestore.Store, cl *mwstoreclient.Client) {
+				s.SetFaults(test.faults)
+				_, err := cl.Commit(context.Background(), mwstore.Txn{})
+				c.Assert(err, qt.IsNotNil)
+				c.Assert(cl.PutObject(context.Background(), "o", nil), qt.IsNotNil)
+				u := s.Usage()
+				c.Assert(u.Transactions, qt.Equals, test.want)
+				c.Assert(u.Puts, qt.Equals, test.want)
+			})
+		})
+	}
+}
+
+func TestBreaker(t *testing.T) {
+	inClient(t, func(c *qt.C, s *mwfakestore.Store, cl *mwstoreclient.Client) {
+		s.SetFaults(mwfakestore.Faults{Away: true})
+		for range 1000 {
+			_, err := cl.Get(context.Background(), "a")
+			c.Assert(mwcode.Of(err), qt.Equals, mwcode.StoreAway)
+			time.Sleep(100 * time.Millisecond)
+		}
+		// 100 s away: few requests reach the store.
+		c.Assert(s.Usage().Refused < 40, qt.IsTrue, qt.Commentf("%d", s.Usage().Refused))
+		s.SetFaults(mwfakestore.Faults{})
+		time.Sleep(16 * time.Second)
+		_, err := cl.Get(context.Background(), "a")
+		c.Assert(mwcode.Of(err), qt.Equals, mwcode.NotFound)
+	})
+}
+
+func TestRetriesAreBounded(t *testing.T) {
+	inClient(t, func(c *qt.C, s *mwfakestore.Store, cl *mwstoreclient.Client) {
+		s.SetFaults(mwfakestore.Faults{Slow: true})
+		const reads = 100
+		for range reads {
+			_, _ = cl.Get(context.Background(), "a")
+		}
+		c.Assert(s.Usage().Refused <= reads+10, qt.IsTrue)
+	})
+}
+
+// While the rate is used up, claims pass before polls, and polls before
+// snapshots.
+func TestPriorities(t *testing.T) {
+	inClient(t, func(c *qt.C, _ *mwfakestore.Store, cl *mwstoreclient.Client) {
+		for range 2 { // The burst.
+			_, err := cl.Commit(context.Background(), mwstore.Txn{})
+			c.Assert(err, qt.IsNil)
+		}
+		var mu sync.Mutex
+		var order []mwstoreclient.Use
+		var wg sync.WaitGroup
+		for _, u := range []mwstoreclient.Use{mwstoreclient.Snapshots, mwstoreclient.Polls, mwstoreclient.Claims} {
+			wg.Go(func() {
+				ctx := mwstoreclient.WithUse(context.Background(), u)
+				_, err := cl.Commit(ctx, mwstore.Txn{})
+				mu.Lock()
+				defer mu.Unlock()
+				c.Check(err, qt.IsNil)
+				order = append(order, u)
+			})
+		}
+		wg.Wait()
+		c.Assert(order, qt.DeepEquals, []mwstoreclient.Use{
+			mwstoreclient.Claims, mwstoreclient.Polls, mwstoreclient.Snapshots,
+		})
+	}, mwstoreclient.WithWrites(1))
+}
+
+// Clients that know nothing of each other must find a rate at which the
+// store refuses little and is used well, however many they are.
+func TestManyClientsShareTheRate(t *testing.T) {
+	const bound, most, warm, measured = 300, 100, 20 * time.Second, 20 * time.Second
+	for _, clients := range []int{4, 40, 400} {
+		synctest.Test(t, func(t *testing.T) {
+			c := qt.New(t)
+			s, end := mwfakestore.New(mwfakestore.WithWrites(bound))
+			defer end()
+			ctx, cancel := context.WithCancel(context.Background())
+			var wg sync.WaitGroup
+			for range clients {
+				cl, endClient := mwstoreclient.New(s, mwstoreclient.WithWrites(most))
+				defer endClient()
+				wg.Go(func() {
+					for ctx.Err() == nil {
+						_, _ = cl.Commit(ctx, mwstore.Txn{})
+					}
+				})
+			}
+			time.Sleep(warm)
+			before := s.Usage()
+			time.Sleep(measured)
+			after := s.Usage()
+			cancel()
+			wg.Wait()
+			done := float64(after.Transactions-before.Transactions) / measured.Seconds()
+			refused := float64(after.Refused-before.Refused) / measured.Seconds()
+			t.Logf("%d clients: %.0f writes a second done, %.0f refused", clients, done, refused)
+			c.Check(done > 0.75*bound, qt.IsTrue)
+			c.Check(refused < 0.25*bound, qt.IsTrue)
+		})
+	}
+}
