--- a/mwlib/mwclaim/lane.go
+++ b/mwlib/mwclaim/lane.go
@@ -10,6 +10,7 @@
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwstoreclient"
 )
 
 // Put is a write of one row on the condition that the row has a revision; 0
@@ -59,7 +60,7 @@
 		table: t, window: o.window, timeout: o.timeout, batch: max(1, o.batch),
 		stat: st, in: make(chan *put), ended: make(chan struct{}),
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(mwstoreclient.WithUse(context.Background(), mwstoreclient.Claims))
 	go func() {
 		defer close(l.ended)
 		for {
--- a/mwlib/mwclaim/ledger.go
+++ b/mwlib/mwclaim/ledger.go
@@ -22,6 +22,7 @@
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwstoreclient"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -157,7 +158,7 @@
 // is mwcode.ClaimUnknown.
 func (l *Ledger) Claim(ctx context.Context, c *mwcall.Call) (mwkernel.Claim, error) {
 	cl := newClaim(l, c)
-	err := cl.acquire(ctx)
+	err := cl.acquire(mwstoreclient.WithUse(ctx, mwstoreclient.Claims))
 	l.count(cl, err)
 	if err != nil {
 		return nil, err
