--- a/mwbench/internal/mwexperiment/chain.go
+++ b/mwbench/internal/mwexperiment/chain.go
@@ -21,7 +21,7 @@
 
 func init() { mwscenario.Register("chain", runChain) }
 
-// The chain: services one below the other, with two targets each.
+// The chain: services one below the other, with chainTargets targets each, or one in a short run.
 const (
 	chainDepth                      = 17
 	chainTargets                    = 2
@@ -37,7 +37,11 @@
 // link returns the service at depth i, from 0 at the top.
 func link(i int) mwid.ServiceName { return mwid.ServiceName(fmt.Sprintf("link-%02d", i)) }
 
-func chainSpec() mwtestbed.Spec {
+func chainSpec(e mwscenario.Env) mwtestbed.Spec {
+	targets := chainTargets
+	if e.Short {
+		targets = 1
+	}
 	spec := mwtestbed.Spec{Works: []mwtestbed.Work{{Name: "chain", Policy: mwconfig.Policy{
 		Repeatable: ptr(true), Retries: ptr(chainBudget),
 	}}}}
@@ -49,7 +53,7 @@
 			c.Stages = []mwfakeserver.Stage{get(link(i + 1))}
 		}
 		s := mwprofile.Service{
-			Service: link(i), Targets: chainTargets, Slots: chainSlots, Connections: mwunit.Connections(chainSlots),
+			Service: link(i), Targets: targets, Slots: chainSlots, Connections: mwunit.Connections(chainSlots),
 		}
 		spec.Services = append(spec.Services, serviceOf(s, c))
 	}
@@ -62,7 +66,7 @@
 		// Three tries at each of 17 hops would outlast the run.
 		q.Timeout = baselineTimeout
 	}
-	t, end, err := newTrial(ctx, e, chainSpec(), map[mwload.Kind]mwclient.Request{whole: q})
+	t, end, err := newTrial(ctx, e, chainSpec(e), map[mwload.Kind]mwclient.Request{whole: q})
 	if err != nil {
 		return nil, err
 	}
--- a/mwbench/internal/mwexperiment/retired.go
+++ b/mwbench/internal/mwexperiment/retired.go
@@ -27,12 +27,13 @@
 
 // The retired interface: its work is slow, and its callers try hard.
 const (
-	retiredPrefix  = "/v1/"
-	retiredTime    = 200 * time.Millisecond
-	retiredTimeout = 2 * time.Second
-	retiredTries   = 5
-	retiredPause   = 50 * time.Millisecond
-	floodFactor    = 10
+	retiredPrefix       = "/v1/"
+	retiredTime         = 200 * time.Millisecond
+	retiredTimeout      = 2 * time.Second
+	retiredTimeoutShort = time.Second
+	retiredTries        = 5
+	retiredPause        = 50 * time.Millisecond
+	floodFactor         = 10
 )
 
 // retiredRates are the arrivals of the scenario, as parts of what the
@@ -113,7 +114,7 @@
 	p := e.Profile
 	old := mwclient.Request{
 		Service: p.Order.Service, Method: http.MethodGet, Path: retiredPrefix + "orders",
-		Timeout: retiredTimeout, Tries: retiredTries, Pause: retiredPause,
+		Timeout: e.Phase(retiredTimeout, retiredTimeoutShort), Tries: retiredTries, Pause: retiredPause,
 	}
 	quiet, wild := old, old
 	quiet.Caller, wild.Caller = "shop-1", "shop-2"
