mwnode: run a node as a process, and test the front end

The tests of the front end found that a node which read from the request's body while wrapping it made net/http's server ask for a body that nobody wanted: a refused upload hung until its caller gave up. The request's own body stays in place now. The stand-in backend server started a call whose time ran out at the instant when a slot became free; it looks at the clock now. An order's answer is kept beside the call, so that its caller does not wait for the table.

--- a/mwlib/mwfakeserver/backend.go
+++ b/mwlib/mwfakeserver/backend.go
@@ -100,8 +100,8 @@
 		return
 	}
 	defer b.gate.exit()
-	if ctx.Err() != nil {
-		b.refuse(w, ctx.Err())
+	if expired(ctx) {
+		b.refuse(w, context.DeadlineExceeded)
 		return
 	}
 	b.set.record.begin(requestID(r), mwid.CallKey(r.Header.Get(keyHeader)))
@@ -116,6 +116,13 @@
 	return context.WithCancel(r.Context())
 }
 
+// expired tells whether the time of a call is over, also where the timer of
+// ctx is yet to run.
+func expired(ctx context.Context) bool {
+	t, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && !time.Now().Before(t)
+}
+
 // refuse answers a call that did not run.
 func (b *Backend) refuse(w http.ResponseWriter, err error) {
 	if errors.Is(err, errShed) {
--- a/mwlib/mwhttp/body.go
+++ b/mwlib/mwhttp/body.go
@@ -15,24 +15,25 @@
 type body struct {
 	whole   []byte
 	held    bool
-	rest    io.ReadCloser
+	rest    io.Reader
 	length  int64
 	touched atomic.Bool
 }
 
-// newBody takes the body of r, holding up to limit bytes. It does not read
-// from a body that is known to be larger.
-func newBody(r *http.Request, limit mwunit.Bytes) (*body, error) {
-	b := &body{rest: r.Body, length: r.ContentLength}
-	if r.ContentLength > int64(limit) {
+// newBody takes the body r of length bytes, -1 where that is not known,
+// holding up to limit bytes. It does not read from a body that is known to be
+// larger.
+func newBody(r io.Reader, length int64, limit mwunit.Bytes) (*body, error) {
+	b := &body{rest: r, length: length}
+	if length > int64(limit) {
 		return b, nil
 	}
-	if r.ContentLength == 0 {
+	if length == 0 {
 		b.held = true
 		return b, nil
 	}
 	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(r.Body, int64(limit)+1))
+	n, err := io.Copy(&buf, io.LimitReader(r, int64(limit)+1))
 	if err != nil {
 		return nil, err
 	}
@@ -41,10 +42,7 @@
 		return b, nil
 	}
 	b.touched.Store(true)
-	b.rest = struct {
-		io.Reader
-		io.Closer
-	}{io.MultiReader(&buf, r.Body), r.Body}
+	b.rest = io.MultiReader(&buf, r)
 	return b, nil
 }
 
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -90,8 +90,9 @@
 		writeRefusal(w, err, mwcall.Head{Code: mwcode.Of(err)}, between)
 		return
 	}
-	r.Body = &patient{rc: http.NewResponseController(w), ReadCloser: r.Body, idle: f.idle}
-	b, err := newBody(r, f.buffer)
+	// The body of r itself stays in place: net/http's server looks at its
+	// type to see whether the sender still waits to be asked for it.
+	b, err := newBody(&patient{http.NewResponseController(w), r.Body, f.idle}, r.ContentLength, f.buffer)
 	if err != nil {
 		err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
 		writeRefusal(w, err, mwcall.Head{Code: mwcode.CallerGone}, between)
@@ -106,15 +107,15 @@
 
 // patient is a request body whose sender may be silent for idle at a time.
 type patient struct {
-	rc *http.ResponseController
-	io.ReadCloser
+	rc   *http.ResponseController
+	body io.Reader
 	idle time.Duration
 }
 
 // Read reads within idle.
 func (p *patient) Read(b []byte) (int, error) {
 	p.rc.SetReadDeadline(time.Now().Add(p.idle))
-	n, err := p.ReadCloser.Read(b)
+	n, err := p.body.Read(b)
 	if err != nil {
 		p.rc.SetReadDeadline(time.Time{})
 	}
--- /dev/null
+++ b/mwlib/mwhttp/stack_test.go
@@ -0,0 +1,253 @@
+package mwhttp_test
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	_ "mustardwheel.example/mwlib/mwadmit"
+	"mustardwheel.example/mwlib/mwcall"
+	_ "mustardwheel.example/mwlib/mwclass"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwhttp"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	_ "mustardwheel.example/mwlib/mwretry"
+	_ "mustardwheel.example/mwlib/mwroute"
+	"mustardwheel.example/mwlib/mwsetting"
+)
+
+// Service that the tests call.
+const service mwid.ServiceName = "auftrag"
+
+// documents make GET repeatable with a budget of one retry.
+const documents = `
+{"Kind": "RequestLabel", "Name": "reads", "Spec": {"Method": "GET", "Labels": {"Work": "read"}}}
+{"Kind": "Selector", "Name": "reads", "Spec": {"On": "Request", "Terms": [{"Label": "Work", "In": ["read"]}]}}
+{"Kind": "Policy", "Name": "reads", "Spec": {"Requests": "reads", "Repeatable": true, "Retries": 1}}
+`
+
+// net is what all nodes of one test know: it is membership and configuration.
+type net struct {
+	mu      sync.Mutex
+	targets []mwcall.Target
+	snap    *mwconfig.Snapshot
+}
+
+// nets are the nets of the running tests by availability zone, which each
+// test has to itself.
+var nets sync.Map
+
+func init() {
+	mwkernel.Memberships.Register("test", func(e mwkernel.Env) (mwkernel.Membership, mwregistry.Cleanup, error) {
+		v, _ := nets.Load(e.Settings.Place.Zone)
+		return &member{net: v.(*net), self: mwcall.Target{
+			Node: e.Node, Peer: e.Settings.Listen.Peer,
+			Zone: e.Settings.Place.Zone, Region: e.Settings.Place.Region,
+		}}, func() {}, nil
+	})
+	mwkernel.Configurations.Register("test", func(e mwkernel.Env) (mwkernel.Configuration, mwregistry.Cleanup, error) {
+		v, _ := nets.Load(e.Settings.Place.Zone)
+		return v.(*net), func() {}, nil
+	})
+	mwkernel.Ledgers.Register("test", func(mwkernel.Env) (mwkernel.Ledger, mwregistry.Cleanup, error) {
+		return &ledger{kept: make(map[mwid.CallKey]*entry)}, func() {}, nil
+	})
+}
+
+// Snapshot returns the configuration of all nodes.
+func (n *net) Snapshot() *mwconfig.Snapshot { return n.snap }
+
+// member is the membership of one node.
+type member struct {
+	*net
+	mwkernel.Membership
+	self mwcall.Target
+}
+
+func (m *member) Targets(s mwid.ServiceName) []mwcall.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.targets
+}
+
+func (m *member) Announce(a mwcall.Announcement) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := m.self
+	t.Service, t.Slots, t.Connections = a.Service, a.Slots, a.Connections
+	for i := range m.targets {
+		if m.targets[i].Node == t.Node {
+			m.targets[i] = t
+			return
+		}
+	}
+	m.targets = append(m.targets, t)
+}
+
+func (m *member) Withdraw(mwid.ServiceName) {}
+func (m *member) Leave()                    {}
+
+// ledger keeps answers in memory. A claim of a key that is taken waits for
+// the answer.
+type ledger struct {
+	mu   sync.Mutex
+	kept map[mwid.CallKey]*entry
+}
+
+// entry is one key; done is closed when its answer is kept.
+type entry struct {
+	done   chan struct{}
+	answer mwcall.Kept
+}
+
+func (l *ledger) Claim(ctx context.Context, c *mwcall.Call) (mwkernel.Claim, error) {
+	l.mu.Lock()
+	e, again := l.kept[c.Key]
+	if !again {
+		e = &entry{done: make(chan struct{})}
+		l.kept[c.Key] = e
+	}
+	l.mu.Unlock()
+	if !again {
+		return &claim{l: l, key: c.Key, e: e}, nil
+	}
+	select {
+	case <-e.done:
+		return &claim{l: l, key: c.Key, e: e, earlier: e.answer}, nil
+	case <-ctx.Done():
+		return nil, mwcode.New(mwcode.Held)
+	}
+}
+
+type claim struct {
+	l       *ledger
+	key     mwid.CallKey
+	e       *entry
+	earlier mwcall.Kept
+}
+
+func (c *claim) Kept() (mwcall.Kept, bool) { return c.earlier, c.earlier != nil }
+func (c *claim) Begin() error              { return nil }
+
+func (c *claim) NotRun(context.Context) error {
+	c.l.mu.Lock()
+	defer c.l.mu.Unlock()
+	delete(c.l.kept, c.key)
+	return nil
+}
+
+func (c *claim) Finish(_ context.Context, k mwcall.Kept) error {
+	c.e.answer = k
+	close(c.e.done)
+	return nil
+}
+
+// stack is an entry node and the node of one target, with its backend server.
+type stack struct {
+	entry  *httptest.Server
+	peer   *httptest.Server
+	target *mwkernel.Kernel
+}
+
+// newStack runs a stack whose backend server is backend.
+func newStack(t testing.TB, backend http.Handler) *stack {
+	c := qt.New(t)
+	docs, err := mwconfig.Decode("documents", strings.NewReader(documents))
+	c.Assert(err, qt.IsNil)
+	snap, err := mwconfig.Compile(1, docs)
+	c.Assert(err, qt.IsNil)
+	zone := mwid.ZoneName(t.Name())
+	nets.Store(zone, &net{snap: snap})
+	b := httptest.NewServer(backend)
+	t.Cleanup(b.Close)
+	s := &stack{}
+	front, _ := newNode(c, zone)
+	s.entry = serve(t, front.Entry())
+	hold := &late{}
+	s.peer = serve(t, hold)
+	targetFront, k := newNodeAt(c, zone, address(s.peer))
+	hold.set(targetFront.Peer())
+	s.target = k
+	c.Assert(k.Announce(mwcall.Announcement{
+		Service: service, Address: address(b), Slots: 8, Connections: 8, TTL: mwkernel.MaxTTL,
+	}), qt.IsNil)
+	return s
+}
+
+func serve(t testing.TB, h http.Handler) *httptest.Server {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s
+}
+
+// late is a handler that is set after its server has started.
+type late struct {
+	mu sync.Mutex
+	h  http.Handler
+}
+
+func (l *late) set(h http.Handler) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.h = h
+}
+
+func (l *late) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	l.mu.Lock()
+	h := l.h
+	l.mu.Unlock()
+	h.ServeHTTP(w, r)
+}
+
+func address(s *httptest.Server) mwid.Address {
+	return mwid.Address(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func newNode(c *qt.C, zone mwid.ZoneName) (*mwhttp.Front, *mwkernel.Kernel) {
+	return newNodeAt(c, zone, "127.0.0.1:1")
+}
+
+// newNodeAt makes a node whose peer listener is at addr.
+func newNodeAt(c *qt.C, zone mwid.ZoneName, addr mwid.Address) (*mwhttp.Front, *mwkernel.Kernel) {
+	set := mwsetting.Default()
+	set.Place.Zone = zone
+	set.Listen.Peer = addr
+	set.Plugins.Membership, set.Plugins.Configuration, set.Plugins.Ledger = "test", "test", "test"
+	k, end, err := mwkernel.New(set, mwkernel.WithLog(slog.New(slog.DiscardHandler)),
+		mwkernel.WithMetrics(metrics.NewSet()))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(end)
+	f, endFront := mwhttp.New(k, set.Relay)
+	c.Cleanup(endFront)
+	return f, k
+}
+
+// request returns a request to the entry node.
+func (s *stack) request(c *qt.C, method, path string, body io.Reader) *http.Request {
+	r, err := http.NewRequest(method, s.entry.URL+path, body)
+	c.Assert(err, qt.IsNil)
+	r.Header.Set(mwhttp.HeaderService, string(service))
+	r.Header.Set(mwhttp.HeaderCaller, "shop-1")
+	return r
+}
+
+// do sends r and returns the answer with its body.
+func do(c *qt.C, r *http.Request) (*http.Response, string) {
+	resp, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	c.Assert(err, qt.IsNil)
+	return resp, string(b)
+}
--- a/mwlib/mwkernel/path_test.go
+++ b/mwlib/mwkernel/path_test.go
@@ -189,6 +189,7 @@
 				w.class.Repeatable = false
 				n := w.add("s", nil)
 				ex := n.call(context.Background(), mwcall.Call{Service: "s", Origin: mwcall.Peer, Key: "k"})
+				synctest.Wait() // The answer is kept beside the call.
 				c.Check(mwcode.Of(ex.err), qt.Equals, test.code)
 				c.Check(w.delivered.Load(), qt.Equals, test.delivered)
 				c.Check(w.claim.begun.Load(), qt.Equals, test.begun)
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -215,16 +215,23 @@
 // keepTimeout bounds the write of a kept answer.
 const keepTimeout = 5 * time.Second
 
+// keep keeps the answer, beside the call: the caller does not wait for it,
+// but the end of a draining node does.
 func (d *delivered) keep() {
 	k, ok := d.Answer.Kept()
 	if !ok {
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
-	defer cancel()
-	if err := d.p.claim.Finish(ctx, k); err != nil {
-		d.p.k.log.Warn("answer not kept", "Key", d.p.c.Key, "Error", err)
-	}
+	kern := d.p.k
+	kern.life.enter()
+	go func() {
+		defer kern.life.exit()
+		ctx, cancel := context.WithTimeout(context.Background(), keepTimeout)
+		defer cancel()
+		if err := d.p.claim.Finish(ctx, k); err != nil {
+			kern.log.Warn("answer not kept", "Key", d.p.c.Key, "Error", err)
+		}
+	}()
 }
 
 // Drop drops the answer and frees the slot.
--- /dev/null
+++ b/mwlib/mwstandard/standard.go
@@ -0,0 +1,14 @@
+// Package mwstandard registers every plug-in of the system, for programs
+// that let their settings choose among them.
+package mwstandard
+
+import (
+	_ "mustardwheel.example/mwlib/mwadmit"
+	_ "mustardwheel.example/mwlib/mwclaim"
+	_ "mustardwheel.example/mwlib/mwclass"
+	_ "mustardwheel.example/mwlib/mwmember"
+	_ "mustardwheel.example/mwlib/mwretry"
+	_ "mustardwheel.example/mwlib/mwroute"
+	_ "mustardwheel.example/mwlib/mwstorehttp"
+	_ "mustardwheel.example/mwlib/mwversion"
+)
--- /dev/null
+++ b/mwnode/main.go
@@ -0,0 +1,104 @@
+// Mwnode is the process that runs on each backend server VM: the data path
+// and its share of control.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwhost"
+	"mustardwheel.example/mwlib/mwsetting"
+	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
+	"mustardwheel.example/mwlib/mwversioninfo"
+)
+
+// Exit codes.
+const (
+	exitOK       = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+// arguments are the settings with those that only this program has.
+type arguments struct {
+	mwsetting.Node
+	Version       bool `long:"version" description:"print the version and end"`
+	PrintSettings bool `long:"print-settings" description:"print the settings in use and end"`
+	Debug         bool `long:"debug" env:"MW_DEBUG" description:"log more"`
+}
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+// run runs the node and returns the exit code.
+func run(args []string) int {
+	var a arguments
+	p := flags.NewNamedParser("mwnode", flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := p.AddGroup("Node", "", &a); err != nil {
+		return report(err)
+	}
+	_, err := p.ParseArgs(args)
+	if a.Version {
+		fmt.Println(mwversioninfo.String())
+		return exitOK
+	}
+	if help, ok := errors.AsType[*flags.Error](err); ok && help.Type == flags.ErrHelp {
+		fmt.Println(help.Message)
+		return exitOK
+	}
+	if err != nil {
+		return report(mwcode.New(mwcode.BadSetting, mwcode.Wrap(err)))
+	}
+	if err := a.Check(); err != nil {
+		return report(err)
+	}
+	if a.PrintSettings {
+		fmt.Print(mwsetting.Print(p))
+		return exitOK
+	}
+	return serve(&a)
+}
+
+// report prints err, one line for each fault, and returns exitSettings.
+func report(err error) int {
+	fmt.Fprintln(os.Stderr, err)
+	return exitSettings
+}
+
+// serve runs the node until a signal or an operator ends it.
+func serve(a *arguments) int {
+	level := slog.LevelInfo
+	if a.Debug {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
+	h, end, err := mwhost.New(&a.Node, mwhost.WithLog(log))
+	if err != nil {
+		log.Error("not started", "Code", int(mwcode.Of(err)), "Error", err.Error())
+		return exitFailed
+	}
+	defer end()
+	log.Info("started", "Node", h.Kernel().Self().Node, "Entry", h.Entry(), "Local", h.Local(),
+		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwversioninfo.String())
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	select {
+	case <-stop:
+	case <-h.DrainRequested():
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), a.Relay.Drain)
+	defer cancel()
+	if err := h.Drain(ctx); err != nil {
+		log.Error("calls in flight were cut off", "Error", err.Error())
+		return exitFailed
+	}
+	log.Info("ended")
+	return exitOK
+}
