--- a/mwlib/mwadmit/bench_test.go
+++ b/mwlib/mwadmit/bench_test.go
@@ -40,22 +40,35 @@
 }
 
 // BenchmarkAdmitParallel shows with -cpu 1,2,4,8 whether the threads wait for
-// each other's locks: each thread calls a service of its own, or all call
-// the same.
+// each other's locks. Each thread calls a service of its own, or all call the
+// same; apart has an admission for each thread, so that nothing is shared
+// but the machine.
 func BenchmarkAdmitParallel(b *testing.B) {
-	for _, services := range []int{1, 16} {
-		b.Run(fmt.Sprint("services=", services), func(b *testing.B) {
-			a := makeAdmission(b, mwadmit.AdaptiveName, mwsetting.Admit{}, 90)
-			for i := range services {
-				a.Announce(mwcall.Announcement{Service: mwid.ServiceName(fmt.Sprint(i)), Slots: 90, Connections: 660})
+	tests := []struct {
+		name                 string
+		services, admissions int
+	}{
+		{name: "one service", services: 1, admissions: 1},
+		{name: "16 services", services: 16, admissions: 1},
+		{name: "apart", services: 1, admissions: 16},
+	}
+	for _, test := range tests {
+		b.Run(test.name, func(b *testing.B) {
+			as := make([]mwkernel.Admission, test.admissions)
+			for i := range as {
+				as[i] = makeAdmission(b, mwadmit.AdaptiveName, mwsetting.Admit{}, 90)
+				for s := range test.services {
+					as[i].Announce(mwcall.Announcement{Service: mwid.ServiceName(fmt.Sprint(s)), Slots: 90, Connections: 660})
+				}
 			}
-			var thread atomic.Int64
+			var threads atomic.Int64
 			b.ReportAllocs()
 			b.RunParallel(func(pb *testing.PB) {
+				n := int(threads.Add(1))
 				c := newCall(orders, "r")
-				c.Service = mwid.ServiceName(fmt.Sprint(int(thread.Add(1)) % services))
+				c.Service = mwid.ServiceName(fmt.Sprint(n % test.services))
 				for pb.Next() {
-					admitOne(b, a, c)
+					admitOne(b, as[n%len(as)], c)
 				}
 			})
 		})
--- a/mwlib/mwclass/history.go
+++ b/mwlib/mwclass/history.go
@@ -1,9 +1,10 @@
 package mwclass
 
 import (
-	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwid"
@@ -24,7 +25,7 @@
 	table       *mwshard.Cache[key, tally]
 	mediumAfter time.Duration
 	longAfter   time.Duration
-	corrected   atomic.Int64
+	corrected   *metrics.Counter
 }
 
 // key is what calls of one kind have in common.
@@ -69,21 +70,24 @@
 	}
 }
 
+// WithCounter counts the calls that got another length class than their
+// labels say.
+func WithCounter(n *metrics.Counter) Option {
+	return func(h *History) { h.corrected = n }
+}
+
 // NewHistory returns an empty History.
 func NewHistory(opts ...Option) *History {
 	h := &History{
 		table:       mwshard.NewCache[key, tally](tableSize),
 		mediumAfter: DefaultMediumAfter,
 		longAfter:   DefaultLongAfter,
+		corrected:   &metrics.Counter{},
 	}
 	mwoption.Apply(h, opts...)
 	return h
 }
 
-// Corrected returns how many calls got another length class than their
-// labels say.
-func (h *History) Corrected() int64 { return h.corrected.Load() }
-
 // Classify fills c.Class.
 func (h *History) Classify(c *mwcall.Call, s *mwconfig.Snapshot, v mwconfig.Server) {
 	h.labels.Classify(c, s, v)
@@ -93,7 +97,7 @@
 	}
 	l, ok := t.length()
 	if ok && l != c.Class.Length {
-		h.corrected.Add(1)
+		h.corrected.Inc()
 		c.Class.Length = l
 	}
 }
--- a/mwlib/mwclass/plugin.go
+++ b/mwlib/mwclass/plugin.go
@@ -22,9 +22,9 @@
 
 func init() {
 	mwkernel.Classifiers.Register(HistoryName, func(env mwkernel.Env) (mwkernel.Classifier, mwregistry.Cleanup, error) {
-		h := NewHistory(WithBounds(env.Settings.Admit.MediumAfter, env.Settings.Admit.LongAfter))
-		env.Metrics.NewGauge("mw_class_corrected", func() float64 { return float64(h.Corrected()) })
-		return h, func() {}, nil
+		n := env.Metrics.GetOrCreateCounter("mw_class_corrected_total")
+		set := env.Settings.Admit
+		return NewHistory(WithBounds(set.MediumAfter, set.LongAfter), WithCounter(n)), func() {}, nil
 	})
 	mwkernel.Classifiers.Register(LabelsName, func(mwkernel.Env) (mwkernel.Classifier, mwregistry.Cleanup, error) {
 		return Labels{}, func() {}, nil
