--- a/mwlib/mwroute/bench_test.go
+++ b/mwlib/mwroute/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -64,3 +65,19 @@
 	}
 	b.router.Begin(c, t)(mwcall.Head{}, mwcall.Sample{First: time.Millisecond})
 }
+
+// pickAllocations bounds the allocations of a pick and the note of its
+// answer: one closure for the note, one for the bucket of far calls.
+const pickAllocations = 2
+
+func TestPickAllocations(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		c, ts, tried := call(), targets(8, "wien-a", "wien-b", "graz-a"), mwset.New[mwid.NodeID]()
+		for range 100 {
+			b.once(c, ts, tried)
+		}
+		got := testing.AllocsPerRun(100, func() { b.once(c, ts, tried) })
+		b.Check(got <= pickAllocations, qt.IsTrue, qt.Commentf("%v allocations", got))
+	})
+}
--- a/mwlib/mwroute/pick.go
+++ b/mwlib/mwroute/pick.go
@@ -22,7 +22,7 @@
 	tardy choice
 	// leftovers has the nearest target found of each fitness worse than
 	// tardy.
-	leftovers [down + 1]mwcall.Target
+	leftovers [down + 1]*mwcall.Target
 }
 
 func (p *pick[S]) run() (mwcall.Target, error) {
@@ -38,7 +38,7 @@
 		}
 		if ok {
 			p.r.meter.picked(t.distance, passed)
-			return best, nil
+			return *best, nil
 		}
 	}
 	return p.leftover()
@@ -48,12 +48,12 @@
 // gone. Then a call leaves the region only while the bound on such calls
 // holds, and long work, whose bytes cost the most, never does.
 func (p *pick[S]) passedOver() bool {
-	return p.tardy.found > 0 || p.leftovers[busy].Node != "" || p.leftovers[below].Node != ""
+	return p.tardy.found > 0 || p.leftovers[busy] != nil || p.leftovers[below] != nil
 }
 
 // choice is the better of up to two candidates.
 type choice struct {
-	best  mwcall.Target
+	best  *mwcall.Target
 	score float64
 	found int
 }
@@ -63,7 +63,7 @@
 // get no calls at all, and nothing would be learnt of it.
 const clearly = 0.8
 
-func (ch *choice) offer(t mwcall.Target, score float64) {
+func (ch *choice) offer(t *mwcall.Target, score float64) {
 	if ch.found == 0 || score < clearly*ch.score {
 		ch.best, ch.score = t, score
 	}
@@ -76,12 +76,12 @@
 // from returns the better of two random targets of t that have room and are
 // not slow now. One that is new is often passed over, so that its share grows
 // slowly.
-func (p *pick[S]) from(t *tier) (mwcall.Target, bool) {
+func (p *pick[S]) from(t *tier) (*mwcall.Target, bool) {
 	n := len(t.targets)
 	var warm, cold choice
 	start, step := rand.IntN(n), coprimeStep(n)
 	for i := 0; i < n && warm.found < choices; i++ {
-		tg := t.targets[(start+i*step)%n]
+		tg := &t.targets[(start+i*step)%n]
 		l, f := p.look(tg)
 		if f != fit || t.distance == self && crowded(l) {
 			continue
@@ -108,20 +108,20 @@
 }
 
 // look returns what is known of t, and keeps it in mind where it is not fit.
-func (p *pick[S]) look(t mwcall.Target) (Load, fitness) {
+func (p *pick[S]) look(t *mwcall.Target) (Load, fitness) {
 	if p.tried.Has(t.Node) {
 		return Load{}, gone
 	}
-	s, _ := p.r.states.Get(keyOf(t))
-	typical := p.v.typical(t)
-	l := s.load(t, typical, p.now.Sub(p.r.epoch), p.now)
+	s, _ := p.r.states.Get(targetKey{t.Node, t.Service})
+	typical := p.v.typical(t.Region)
+	l := s.load(t.Slots, typical, p.now.Sub(p.r.epoch), p.now)
 	f := s.fitness(p.c.Class.Priority, p.now)
 	slow := typical > 0 && isSlow(l.Latency, typical, p.r.set.SlowFactor)
 	if f == fit && (slow || s.onTrial()) {
 		f = tardy
 		p.tardy.offer(t, p.r.score.Of(l))
 	}
-	if f > tardy && p.leftovers[f].Node == "" {
+	if f > tardy && p.leftovers[f] == nil {
 		p.leftovers[f] = t
 	}
 	return l, f
@@ -131,7 +131,7 @@
 const minShare = 0.1
 
 // cold tells whether t, which is new, is passed over this time.
-func (p *pick[S]) cold(t mwcall.Target) bool {
+func (p *pick[S]) cold(t *mwcall.Target) bool {
 	age := p.now.Sub(t.Since)
 	if t.Since.IsZero() || age >= p.r.set.Warmup {
 		return false
@@ -149,28 +149,29 @@
 // target is sure to refuse is refused here.
 func (p *pick[S]) leftover() (mwcall.Target, error) {
 	if p.tardy.found > 0 {
-		return p.tardy.best, nil
+		return *p.tardy.best, nil
 	}
-	if t := p.leftovers[busy]; t.Node != "" {
-		return t, nil
+	if t := p.leftovers[busy]; t != nil {
+		return *t, nil
 	}
-	if t := p.leftovers[below]; t.Node != "" {
+	if t := p.leftovers[below]; t != nil {
 		if rand.Float64() < probeShare {
 			p.r.meter.probes.Inc()
-			return t, nil
+			return *t, nil
 		}
 		p.r.meter.early.Inc()
 		return mwcall.Target{}, mwcode.New(mwcode.EarlyRefusal)
 	}
-	for _, t := range p.v.last {
+	for i := range p.v.last {
+		t := &p.v.last[i]
 		if _, f := p.look(t); f <= tardy {
 			p.r.meter.fallback.Inc()
-			return t, nil
+			return *t, nil
 		}
 	}
-	if t := p.leftovers[down]; t.Node != "" {
+	if t := p.leftovers[down]; t != nil {
 		p.r.meter.fallback.Inc()
-		return t, nil
+		return *t, nil
 	}
 	return mwcall.Target{}, mwcode.New(mwcode.NoTarget)
 }
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -129,7 +129,7 @@
 
 // Begin notes that c is sent to t.
 func (r *Router[S]) Begin(c *mwcall.Call, t mwcall.Target) func(mwcall.Head, mwcall.Sample) {
-	k, now := keyOf(t), time.Now()
+	k, region, now := keyOf(t), t.Region, time.Now()
 	long := c.Class.Length == mwconfig.Long
 	r.states.Update(k, func(s state, _ bool) (state, bool) {
 		s.begin(long, now.Sub(r.epoch))
@@ -143,7 +143,7 @@
 	}
 	return func(h mwcall.Head, m mwcall.Sample) {
 		began, now := now, time.Now()
-		typical := r.typical(t)
+		typical := r.typical(k.service, region)
 		r.states.Update(k, func(s state, ok bool) (state, bool) {
 			if !ok {
 				return s, false
@@ -159,11 +159,11 @@
 	}
 }
 
-// typical returns the latency that a target like t has, or 0 where it is not
-// known.
-func (r *Router[S]) typical(t mwcall.Target) time.Duration {
-	if v, ok := r.views.Get(t.Service); ok {
-		return v.typical(t)
+// typical returns the latency that targets of s in region have, or 0 where it
+// is not known.
+func (r *Router[S]) typical(s mwid.ServiceName, region mwid.RegionName) time.Duration {
+	if v, ok := r.views.Get(s); ok {
+		return v.typical(region)
 	}
 	return 0
 }
@@ -181,3 +181,6 @@
 		return idle
 	})
 }
+
+// Len returns the number of targets of which something is kept.
+func (r *Router[S]) Len() int { return r.states.Len() }
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -144,10 +144,10 @@
 	}
 }
 
-// load returns what a Score judges t by.
-func (s *state) load(t mwcall.Target, typical, since time.Duration, now time.Time) Load {
+// load returns what a Score judges a target with slots by.
+func (s *state) load(slots mwunit.Slots, typical, since time.Duration, now time.Time) Load {
 	return Load{
-		InFlight: s.inFlight, Slots: t.Slots,
+		InFlight: s.inFlight, Slots: slots,
 		Latency: max(s.cost(typical, now), s.age(since)),
 	}
 }
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -187,12 +187,12 @@
 	return floors
 }
 
-// typical returns the latency that a target like t has.
-func (v *view) typical(t mwcall.Target) time.Duration {
+// typical returns the latency that targets in r have.
+func (v *view) typical(r mwid.RegionName) time.Duration {
 	if v.median == 0 {
 		return 0
 	}
-	return v.median + v.away[t.Region]
+	return v.median + v.away[r]
 }
 
 // eject marks targets that are slow or can't be reached, the worst first, up
