mwroute: refuse early only what the threshold speaks of

A target's threshold is that of short work on interfaces that are not retired. Long and medium work and the retired interface were refused early by it, and the latter's floor was no floor then. Long work remembers full lanes instead.

A target without a backend server was left out for 8 s although a restart takes less; it is 1 s now. Calls cut off late count as slow answers, as silence always ends that way. At a node's start all targets were new, each pick looked at all of them and took the best; new is what is newer than the others now.

--- a/mwlib/mwroute/pick.go
+++ b/mwlib/mwroute/pick.go
@@ -115,7 +115,7 @@
 	s, _ := p.r.states.Get(targetKey{t.Node, t.Service})
 	typical := p.v.typical(t.Region)
 	l := s.load(t.Slots, typical, p.now.Sub(p.r.epoch), p.now)
-	f := s.fitness(p.c.Class.Priority, p.now)
+	f := s.fitness(p.c, p.now)
 	slow := typical > 0 && isSlow(l.Latency, typical, p.r.set.SlowFactor)
 	if f == fit && (slow || s.onTrial()) {
 		f = tardy
@@ -130,13 +130,14 @@
 // minShare is the share of calls that a target gets when it is new.
 const minShare = 0.1
 
-// cold tells whether t, which is new, is passed over this time.
+// cold tells whether t, which is new, is passed over this time. Where all are
+// as new, none is: a node that has just started knows no older ones.
 func (p *pick[S]) cold(t *mwcall.Target) bool {
-	age := p.now.Sub(t.Since)
-	if t.Since.IsZero() || age >= p.r.set.Warmup {
+	age, warm := p.now.Sub(t.Since), min(p.r.set.Warmup, p.now.Sub(p.v.oldest))
+	if age >= warm {
 		return false
 	}
-	share := max(minShare, float64(age)/float64(p.r.set.Warmup))
+	share := max(minShare, float64(age)/float64(warm))
 	return rand.Float64() >= share
 }
 
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -150,8 +150,8 @@
 			}
 			s.finish(long, began.Sub(r.epoch))
 			s.end(h, m, began, now)
-			if h.Code == mwcode.OK {
-				s.judge(m.First, typical, r.set.SlowFactor, began, now)
+			if h.Code == mwcode.OK || m.Cancelled {
+				s.judge(m, typical, r.set.SlowFactor, began, now)
 			}
 			s.used = now
 			return s, true
--- a/mwlib/mwroute/router_test.go
+++ b/mwlib/mwroute/router_test.go
@@ -67,7 +67,11 @@
 	return ts
 }
 
-func call() *mwcall.Call { return &mwcall.Call{Service: service} }
+func call() *mwcall.Call {
+	c := &mwcall.Call{Service: service}
+	c.Class.Length = mwconfig.Short
+	return c
+}
 
 func (b *bench) pick(c *mwcall.Call, ts []mwcall.Target) (mwcall.Target, error) {
 	return b.router.Pick(c, ts, mwset.New[mwid.NodeID]())
@@ -184,8 +188,10 @@
 		for _, tg := range ts {
 			b.answer(tg, mwcall.Head{Code: mwcode.Overloaded, Threshold: high}, time.Millisecond)
 		}
-		low, orders := call(), call()
+		low, orders, long, retired := call(), call(), call(), call()
 		orders.Class.Priority = high
+		long.Class.Length = mwconfig.Long
+		retired.Class.Retired = "old"
 		probes := 0
 		for range picks {
 			if _, err := b.pick(low, ts); err == nil {
@@ -193,8 +199,10 @@
 			} else {
 				b.Assert(mwcode.Of(err), qt.Equals, mwcode.EarlyRefusal)
 			}
-			_, err := b.pick(orders, ts)
-			b.Assert(err, qt.IsNil)
+			for _, c := range []*mwcall.Call{orders, long, retired} {
+				_, err := b.pick(c, ts)
+				b.Assert(err, qt.IsNil)
+			}
 		}
 		b.Check(probes > 0 && probes < picks/20, qt.IsTrue, qt.Commentf("%d probes", probes))
 		time.Sleep(2 * time.Second)
@@ -336,3 +344,40 @@
 		})
 	}
 }
+
+func TestAllTargetsAreNewAtTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(4, "wien-a")
+		for i := range ts {
+			ts[i].Since = time.Now()
+		}
+		got := make(map[mwid.NodeID]int)
+		for range picks {
+			tg, err := b.pick(call(), ts)
+			b.Assert(err, qt.IsNil)
+			got[tg.Node]++
+		}
+		for _, tg := range ts {
+			b.Check(got[tg.Node] > picks/8, qt.IsTrue, qt.Commentf("%s: %d", tg.Node, got[tg.Node]))
+		}
+	})
+}
+
+func TestLongWorkPassesOverFullLanes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(qt.New(t), "cost")
+		ts := targets(2, "wien-a")
+		b.answer(ts[0], mwcall.Head{Code: mwcode.LaneFull, RetryAfter: time.Second}, time.Millisecond)
+		long := call()
+		long.Class.Length = mwconfig.Long
+		short := make(map[mwid.NodeID]int)
+		for range picks {
+			tg, _ := b.pick(long, ts)
+			b.Assert(tg.Node, qt.Equals, ts[1].Node)
+			tg, _ = b.pick(call(), ts)
+			short[tg.Node]++
+		}
+		b.Check(short[ts[0].Node] > 0, qt.IsTrue)
+	})
+}
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -6,6 +6,7 @@
 
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwunit"
 )
@@ -38,6 +39,7 @@
 	threshold mwcall.Priority
 	learnt    time.Time // learnt is when threshold was learnt.
 	busyUntil time.Time
+	laneUntil time.Time // laneUntil is until when long work counts the target as busy.
 	downUntil time.Time
 	failures  int // failures counts lost connections and silences in a row.
 	slowUntil time.Time
@@ -63,6 +65,9 @@
 	// is left out; the time doubles with each failure.
 	downFirst = 250 * time.Millisecond
 	downMax   = 8 * time.Second
+	// goneFor is how long a target is left out that takes no work; in that
+	// time the membership tells more.
+	goneFor = time.Second
 	// slowFirst and slowMax bound how long a slow target is left out. Slow
 	// spells are often short, so the first time is short, and it doubles
 	// while the target is found slow again.
@@ -88,14 +93,18 @@
 	gone
 )
 
-// fitness returns what a call of priority p can hope for at now.
-func (s *state) fitness(p mwcall.Priority, now time.Time) fitness {
+// fitness returns what c can hope for at now. A threshold speaks of short
+// work on interfaces that are not retired; the other lanes have their own
+// bounds, and the retired interface a floor.
+func (s *state) fitness(c *mwcall.Call, now time.Time) fitness {
+	long := c.Class.Length == mwconfig.Long
+	plain := c.Class.Length == mwconfig.Short && c.Class.Retired == ""
 	switch {
 	case now.Before(s.downUntil):
 		return down
-	case p < s.threshold && now.Sub(s.learnt) < thresholdTTL:
+	case plain && c.Class.Priority < s.threshold && now.Sub(s.learnt) < thresholdTTL:
 		return below
-	case now.Before(s.busyUntil):
+	case now.Before(s.busyUntil), long && now.Before(s.laneUntil):
 		return busy
 	}
 	return fit
@@ -167,7 +176,9 @@
 		s.failures++
 		s.downUntil = now.Add(backoff(s.failures, downFirst, downMax))
 	case code == mwcode.Draining, code == mwcode.NoBackend:
-		s.downUntil = now.Add(downMax)
+		s.downUntil = now.Add(goneFor)
+	case code == mwcode.LaneFull:
+		s.laneUntil = now.Add(busyTime(h.RetryAfter))
 	case aboutLoad(code) && h.Threshold == 0:
 		s.busyUntil = now.Add(busyTime(h.RetryAfter))
 	}
@@ -227,17 +238,21 @@
 }
 
 // judge finds out whether the target is slow against typical, the latency
-// that its service has at that distance, from a call that took d and began at
+// that its service has at that distance, from a call m that began at
 // began. A slow one is left out for a while, and then has to show by a few
 // calls, one at a time, that it is well; calls of before count for nothing.
-func (s *state) judge(d, typical time.Duration, factor mwunit.Ratio, began, now time.Time) {
+func (s *state) judge(m mwcall.Sample, typical time.Duration, factor mwunit.Ratio, began, now time.Time) {
+	slow := isSlow(m.First, typical, factor)
 	if s.samples < minSamples || typical == 0 || began.Before(s.slowUntil) {
 		return
 	}
-	if isSlow(s.mean, typical, factor) || s.trials > 0 && isSlow(d, typical, factor) {
+	if m.Code != mwcode.OK && !slow {
+		return // A caller that left early says nothing.
+	}
+	if isSlow(s.mean, typical, factor) || s.trials > 0 && slow {
 		s.strikes++
 		s.slowUntil = now.Add(backoff(s.strikes, slowFirst, slowMax))
-		s.excess, s.mean = max(d, s.mean), typical
+		s.excess, s.mean = max(m.First, s.mean), typical
 		s.trials = trials
 		return
 	}
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -50,6 +50,7 @@
 	last    []mwcall.Target                   // last is what is used where nothing better is left.
 	median  time.Duration                     // median is the median latency in this region's terms.
 	away    map[mwid.RegionName]time.Duration // away is how much longer the way to a region is.
+	oldest  time.Time                         // oldest is since when the target is known that was known first.
 	ejected int
 }
 
@@ -74,10 +75,13 @@
 		v.of = &ts[0]
 	}
 	all := make([]seen, 0, len(ts))
-	for _, t := range ts {
+	for i, t := range ts {
 		if t.State != mwcall.Leaving {
 			all = append(all, seen{Target: t, state: look(keyOf(t))})
 		}
+		if i == 0 || t.Since.Before(v.oldest) {
+			v.oldest = t.Since
+		}
 	}
 	v.away = away(here, all)
 	v.median = median(all, v.away)
