--- a/mwbench/internal/mwexperiment/config.go
+++ b/mwbench/internal/mwexperiment/config.go
@@ -30,8 +30,9 @@
 	configRank         int = 7
 )
 
-// runConfig has operators change policies while the store is away at times,
-// and nodes that start while it is away.
+// runConfig has operators change policies while the nodes of half of the
+// zones are cut off from the store, and starts a node while the store is away
+// as a whole.
 func runConfig(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
 	if !e.Treated() {
 		return nil, nil // The baseline has no configuration of its own.
@@ -68,16 +69,26 @@
 		n = configChangesShort
 	}
 	for i := range n {
+		c.cutHalf(i)
 		if err := c.change(ctx, i); err != nil {
 			return err
 		}
 	}
+	c.cutHalf(n)
 	if err := c.startAway(ctx); err != nil {
 		return err
 	}
 	return c.change(ctx, n)
 }
 
+// cutHalf cuts the nodes of each second zone off from the store, those of
+// the others in the next round; every third round has no cut.
+func (c *config) cutHalf(round int) {
+	for i, t := range c.bed.All() {
+		t.Store.Cut(round%3 != 0 && i%2 == round%2)
+	}
+}
+
 // change applies change number i and waits until it is in force everywhere.
 func (c *config) change(ctx context.Context, i int) error {
 	w := mwtestbed.Work{Name: "changing", PathPrefix: "/changing", Policy: mwconfig.Policy{
--- a/mwbench/internal/mwexperiment/once.go
+++ b/mwbench/internal/mwexperiment/once.go
@@ -86,7 +86,7 @@
 }
 
 // disturb shows the faults of the store. In every step another backend server
-// pauses; in one, a node is lost with its backend server, without a word.
+// pauses, and another node is cut off from the store; in one, a node is lost with its backend server, without a word.
 func (o *once) disturb(ctx context.Context) error {
 	ts := o.bed.Targets(o.service.Service.Service)
 	t := time.NewTicker(o.step)
@@ -95,12 +95,15 @@
 		o.bed.Store().SetFaults(f)
 		victim := ts[i%len(ts)]
 		victim.Server.SetSlowness(pauseFactor)
+		cut := ts[(i+1)%len(ts)]
+		cut.Store.Cut(true)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return ctx.Err()
 		}
 		victim.Server.SetSlowness(1)
+		cut.Store.Cut(false)
 		if i == lostStep {
 			if err := o.lose(ts[len(ts)-1], len(ts)-1); err != nil {
 				return err
--- a/mwbench/internal/mwtestbed/bed.go
+++ b/mwbench/internal/mwtestbed/bed.go
@@ -55,7 +55,9 @@
 type Target struct {
 	Host   *mwhost.Host
 	Server *mwfakeserver.Server
-	end    func()
+	// Store is the node's way to the store.
+	Store *Link
+	end   func()
 }
 
 // Stop ends both at once; only its first call does.
@@ -158,7 +160,8 @@
 	if err != nil {
 		return nil, err
 	}
-	h, endHost, err := mwhost.New(set, mwhost.WithLog(b.log), mwhost.WithStore(b.store))
+	link := NewLink(b.store)
+	h, endHost, err := mwhost.New(set, mwhost.WithLog(b.log), mwhost.WithStore(link))
 	if err != nil {
 		return nil, fmt.Errorf("testbed: %w", err)
 	}
@@ -170,7 +173,7 @@
 	if len(b.join) < joinNodes {
 		b.join = append(b.join, h.Peer())
 	}
-	t := &Target{Host: h, Server: srv, end: sync.OnceFunc(func() { endServer(); endHost() })}
+	t := &Target{Host: h, Server: srv, Store: link, end: sync.OnceFunc(func() { endServer(); endHost() })}
 	b.targets[s.Service.Service] = append(b.targets[s.Service.Service], t)
 	return t, nil
 }
