--- /dev/null
+++ b/mwnode/process_test.go
@@ -0,0 +1,288 @@
+package main_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwadmin"
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// programs are the binaries that the tests start.
+var programs = []string{"mwnode", "mwctl", "mwplatform", "mwbackend"}
+
+// bin is the folder of the binaries.
+var bin string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "mw")
+	if err != nil {
+		panic(err)
+	}
+	bin = dir
+	code := 1
+	if err := build(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func build() error {
+	args := []string{"build", "-o", bin + "/"}
+	for _, p := range programs {
+		args = append(args, "mustardwheel.example/"+p)
+	}
+	out, err := exec.Command("go", args...).CombinedOutput()
+	if err != nil {
+		return fmt.Errorf("building: %w: %s", err, out)
+	}
+	return nil
+}
+
+// hang bounds a wait for what must come; it is no measure of how fast.
+const hang = 60 * time.Second
+
+// poll is the time between two looks.
+const poll = 20 * time.Millisecond
+
+// eventually looks until ok, and fails the test where that does not come.
+func eventually(c *qt.C, what string, ok func() bool) {
+	c.Helper()
+	t := time.NewTicker(poll)
+	defer t.Stop()
+	over := time.After(hang)
+	for !ok() {
+		select {
+		case <-t.C:
+		case <-over:
+			c.Fatalf("%s did not come within %v", what, hang)
+		}
+	}
+}
+
+// process is one running program.
+type process struct {
+	cmd  *exec.Cmd
+	log  *logBuffer
+	done chan struct{}
+}
+
+// logBuffer is what a process printed.
+type logBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *logBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *logBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// start starts a program, which is killed at the end of the test.
+func start(c *qt.C, program string, args ...string) *process {
+	p := &process{cmd: exec.Command(filepath.Join(bin, program), args...), log: &logBuffer{}, done: make(chan struct{})}
+	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
+	c.Assert(p.cmd.Start(), qt.IsNil)
+	go func() {
+		p.cmd.Wait()
+		close(p.done)
+	}()
+	c.Cleanup(func() {
+		p.cmd.Process.Signal(syscall.SIGCONT)
+		p.kill()
+		if c.Failed() {
+			c.Logf("%s %v printed:\n%s", program, args, p.log)
+		}
+	})
+	return p
+}
+
+func (p *process) signal(s os.Signal) { p.cmd.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.cmd.Process.Kill()
+	<-p.done
+}
+
+// freePort returns a loopback address that was free a moment ago.
+func freePort(c *qt.C) mwid.Address {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	defer ln.Close()
+	return mwid.Address(ln.Addr().String())
+}
+
+// node is one running mwnode.
+type node struct {
+	*process
+	zone                      string
+	entry, local, peer, admin mwid.Address
+}
+
+// system is a running store, nodes and backend servers.
+type system struct {
+	c       *qt.C
+	store   mwid.Address
+	process *process
+	nodes   []*node
+	servers []*process
+}
+
+// newSystem runs a store and n nodes, each in an availability zone of its
+// own.
+func newSystem(c *qt.C, n int) *system {
+	s := &system{c: c, store: freePort(c)}
+	s.startStore()
+	for i := range n {
+		s.nodes = append(s.nodes, s.startNode(fmt.Sprintf("wien-%c", 'a'+i)))
+	}
+	return s
+}
+
+func (s *system) startStore() { s.process = start(s.c, "mwplatform", "--listen", string(s.store)) }
+
+// startNode runs a node that joins those that run.
+func (s *system) startNode(zone string) *node {
+	n := &node{zone: zone, entry: freePort(s.c), local: freePort(s.c), peer: freePort(s.c), admin: freePort(s.c)}
+	args := []string{
+		"--zone", zone, "--region", "wien", "--entry", string(n.entry), "--local", string(n.local),
+		"--peer", string(n.peer), "--admin", string(n.admin), "--store.address", string(s.store),
+	}
+	for _, o := range s.nodes {
+		args = append(args, "--member.join", string(o.peer))
+	}
+	n.process = start(s.c, "mwnode", args...)
+	eventually(s.c, "the node's admin listener", func() bool {
+		_, err := n.client().Status(context.Background())
+		return err == nil
+	})
+	return n
+}
+
+func (n *node) client() *mwadmin.Client { return mwadmin.NewClient(n.admin) }
+
+// startServer runs a backend server of the service auftrag at n.
+func (s *system) startServer(n *node, args ...string) *process {
+	args = append([]string{
+		"--service", "auftrag", "--node", string(n.local), "--slots", "8", "--connections", "32", "--time", "5ms",
+	}, args...)
+	p := start(s.c, "mwbackend", args...)
+	s.servers = append(s.servers, p)
+	return p
+}
+
+// targets waits until every node knows n targets that take work.
+func (s *system) targets(n int) {
+	s.c.Helper()
+	for _, x := range s.nodes {
+		eventually(s.c, fmt.Sprintf("%d targets known in %s", n, x.zone), func() bool {
+			ts, err := x.client().Targets(context.Background(), "auftrag")
+			if err != nil {
+				return false
+			}
+			up := 0
+			for _, t := range ts {
+				if t.State == mwcall.Up {
+					up++
+				}
+			}
+			return up == n
+		})
+	}
+}
+
+// inForce waits until version v is in force at every node.
+func (s *system) inForce(v mwid.Version) {
+	s.c.Helper()
+	for _, x := range s.nodes {
+		eventually(s.c, fmt.Sprintf("version %d in force in %s", v, x.zone), func() bool {
+			st, err := x.client().Status(context.Background())
+			return err == nil && st.Configured && st.Version >= v
+		})
+	}
+}
+
+// ctl runs mwctl and returns its output and its exit code.
+func (s *system) ctl(args ...string) (string, int) {
+	cmd := exec.Command(filepath.Join(bin, "mwctl"), append([]string{
+		"--store", string(s.store), "--operator", "anna", "--node", string(s.nodes[0].admin),
+	}, args...)...)
+	out, _ := cmd.CombinedOutput()
+	return string(out), cmd.ProcessState.ExitCode()
+}
+
+// documents make GET repeatable, everything else not.
+const documents = `
+{"Kind": "RequestLabel", "Name": "reads", "Spec": {"Method": "GET", "Labels": {"Work": "read"}}}
+{"Kind": "Selector", "Name": "reads", "Spec": {"On": "Request", "Terms": [{"Label": "Work", "In": ["read"]}]}}
+{"Kind": "Policy", "Name": "reads", "Spec": {"Requests": "reads", "Repeatable": true, "Retries": 2, "Importance": 20}}
+`
+
+// apply applies documents as version 1 and waits until it is in force.
+func (s *system) apply() {
+	s.c.Helper()
+	name := filepath.Join(s.c.TempDir(), "documents.json")
+	s.c.Assert(os.WriteFile(name, []byte(documents), 0o600), qt.IsNil)
+	out, code := s.ctl("apply", name)
+	s.c.Assert(code, qt.Equals, 0, qt.Commentf("%s", out))
+	s.inForce(1)
+}
+
+// call is one call to the service auftrag.
+type call struct {
+	method, path, key, timeout string
+}
+
+// result is what the caller of a call sees.
+type result struct {
+	status        int
+	code, outcome string
+	err           error
+}
+
+// do makes a call by the entry listener of n.
+func (n *node) do(x call) result {
+	r, err := http.NewRequest(x.method, "http://"+string(n.entry)+x.path, strings.NewReader(""))
+	if err != nil {
+		return result{err: err}
+	}
+	r.Header.Set("Mw-Service", "auftrag")
+	r.Header.Set("Mw-Caller", "shop-1")
+	for k, v := range map[string]string{"Mw-Key": x.key, "Mw-Timeout": x.timeout} {
+		if v != "" {
+			r.Header.Set(k, v)
+		}
+	}
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return result{err: err}
+	}
+	defer resp.Body.Close()
+	var b bytes.Buffer
+	_, err = b.ReadFrom(resp.Body)
+	return result{resp.StatusCode, resp.Header.Get("Mw-Code"), resp.Header.Get("Mw-Outcome"), err}
+}
