mwkernel: pass by leaving targets free of budget

Cause: a call without retries that met a leaving target, before its node had heard of the drain, ended as Draining, though nothing was wrong with the other targets. Ruled out: giving such calls a budget, which they may not have for other failures. Before: 1, 2 of 4 targets leaving refuse calls (TestLeavingTargetsCostNoBudget fails). After: up to two such refusals a hop cost nothing; they begin no work, so they don't multiply along a chain.

--- /dev/null
+++ b/mwlib/mwkernel/redirect_test.go
@@ -0,0 +1,45 @@
+package mwkernel_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// A call without any budget passes by up to two targets that are leaving and
+// that its node still takes for usable; a third one ends it.
+func TestLeavingTargetsCostNoBudget(t *testing.T) {
+	for leaving := range 4 {
+		t.Run(fmt.Sprintf("%d leaving", leaving), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c, replies(good))
+				w.class.Retries, w.class.Repeatable = 0, false
+				for i := range 4 {
+					if n := w.add("s", nil); i < leaving {
+						c.Assert(n.Drain(context.Background()), qt.IsNil)
+					}
+				}
+				// Each call meets the targets in another order.
+				entry := w.add("", nil)
+				for range 50 {
+					ex := entry.call(context.Background(), mwcall.Call{Service: "s"})
+					if leaving < 3 {
+						c.Assert(ex.err, qt.IsNil)
+						continue
+					}
+					code := mwcode.Of(ex.err)
+					c.Assert(code == mwcode.OK || code == mwcode.Draining, qt.IsTrue, qt.Commentf("%v", code))
+					c.Assert(ex.head.Unused, qt.Equals, mwunit.Attempts(0))
+				}
+			})
+		})
+	}
+}
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -20,8 +20,14 @@
 	balance mwunit.Attempts
 	tried   triedSet
 	prior   outcome // prior is the attempt that says most of those given up.
+	// redirects counts the free attempts so far.
+	redirects int
 }
 
+// maxRedirects is how often a call may go on, free of budget, from a target
+// that can't take it.
+const maxRedirects = 2
+
 // HopRetries is a RetryPolicy that gives each hop retries of its own,
 // whatever budget comes with a call. Nothing bounds the retries of a whole
 // request then; it serves to compare.
@@ -85,7 +91,13 @@
 // and takes it from the budget.
 func (r *routing) again(h mwcall.Head) bool {
 	safe := h.Code.NotRun() || r.c.Class.Repeatable
-	if !safe || !h.Elsewhere || r.balance < 1 || !r.ex.Resendable() {
+	if !safe || !h.Elsewhere || !r.ex.Resendable() {
+		return false
+	}
+	if r.redirected(h.Code) {
+		return true
+	}
+	if r.balance < 1 {
 		return false
 	}
 	if !r.k.retry.Allow(r.c, h) {
@@ -96,6 +108,24 @@
 	return true
 }
 
+// redirected tells whether an attempt that ended with code c is followed by
+// one that costs no budget: its target is leaving or gone, which other nodes
+// may not have heard yet. No work was begun for it, so such attempts do not
+// multiply along a chain.
+func (r *routing) redirected(c mwcode.Code) bool {
+	switch c {
+	case mwcode.Draining, mwcode.NoBackend, mwcode.ConnectFailed:
+	default:
+		return false
+	}
+	if r.redirects >= maxRedirects {
+		return false
+	}
+	r.redirects++
+	r.k.stat.redirects.Inc()
+	return true
+}
+
 // giveUp drops an attempt that is followed by another one, and keeps in mind
 // whether it may have run.
 func (r *routing) giveUp(o outcome) {
--- a/mwlib/mwkernel/stat.go
+++ b/mwlib/mwkernel/stat.go
@@ -10,18 +10,20 @@
 
 // stats are the counters of the path of a call.
 type stats struct {
-	set     *metrics.Set
-	retries *metrics.Counter
-	hedges  *metrics.Counter
-	cut     *metrics.Counter
+	set       *metrics.Set
+	retries   *metrics.Counter
+	redirects *metrics.Counter
+	hedges    *metrics.Counter
+	cut       *metrics.Counter
 }
 
 func newStats(s *metrics.Set) *stats {
 	return &stats{
-		set:     s,
-		retries: s.GetOrCreateCounter("mw_retries_total"),
-		hedges:  s.GetOrCreateCounter("mw_hedges_total"),
-		cut:     s.GetOrCreateCounter("mw_answers_cut_total"),
+		set:       s,
+		retries:   s.GetOrCreateCounter("mw_retries_total"),
+		redirects: s.GetOrCreateCounter("mw_redirects_total"),
+		hedges:    s.GetOrCreateCounter("mw_hedges_total"),
+		cut:       s.GetOrCreateCounter("mw_answers_cut_total"),
 	}
 }
 
