mwmember: keep a mass start cheap

Cause: with 256 nodes that started together, news was pushed again and again while the allowance was empty, exchanges of the start used it up, and making views took most of the processor; live nodes were taken for dead. Change: news known to others is sent less often, joins don't count, a refutation always has room, views get a bounded share of the time. mwslope measures control against the number of nodes.

--- a/mwlib/mwcluster/cluster.go
+++ b/mwlib/mwcluster/cluster.go
@@ -69,9 +69,11 @@
 		for _, n := range c.Nodes() {
 			n.cut()
 		}
+		var wg sync.WaitGroup
 		for _, n := range c.Nodes() {
-			n.End()
+			wg.Go(n.End)
 		}
+		wg.Wait()
 		end()
 	}
 }
--- a/mwlib/mwmember/allowance.go
+++ b/mwlib/mwmember/allowance.go
@@ -8,7 +8,7 @@
 )
 
 // allowance bounds the bytes of news and exchanges: it fills at a rate and
-// holds a burst. It may be overdrawn by one message, which later ones pay.
+// holds a burst.
 type allowance struct {
 	mu    sync.Mutex
 	rate  mwunit.Bytes // rate is in bytes a second.
@@ -37,9 +37,9 @@
 	return max(0, min(a.left, limit))
 }
 
-// spend takes n bytes.
+// spend takes n bytes, or what is left.
 func (a *allowance) spend(n mwunit.Bytes) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.left -= n
+	a.left = max(0, a.left-n)
 }
--- a/mwlib/mwmember/exchange.go
+++ b/mwlib/mwmember/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // How tables are made equal.
@@ -13,7 +14,9 @@
 	exchangeGap     = 2 * time.Second // exchangeGap is the least time between two exchanges.
 	quietTime       = time.Second     // quietTime without news makes a difference count.
 	differTime      = 4 * time.Second // differTime makes a difference count also amid news.
+	leastBuckets    = 4               // leastBuckets are made equal in an exchange whatever was sent before.
 	bucketsAtOnce   = 16
+	bucketBytes     = mwunit.Bytes(2048) // bucketBytes is what an exchange of one bucket may take.
 	// bulk is the number of records from one exchange above which they are
 	// not passed on as news; digests spread them then.
 	bulk = 64
@@ -45,7 +48,8 @@
 		case <-ctx.Done():
 			return
 		case to := <-g.sync:
-			if _, err := g.exchange(ctx, to); err != nil {
+			n := leastBuckets + g.allowance.room((bucketsAtOnce-leastBuckets)*bucketBytes)/bucketBytes
+			if _, err := g.exchange(ctx, to, int(n)); err != nil {
 				g.log.Debug("exchange failed", "Peer", to, "Error", err)
 			}
 		}
@@ -70,27 +74,28 @@
 	return res, nil
 }
 
-// exchange makes some buckets equal with the node at to. It tells whether
-// all were equal before.
-func (g *Gossip) exchange(ctx context.Context, to mwid.Address) (equal bool, err error) {
+// exchange makes up to n buckets equal with the node at to. It returns the
+// number of buckets that differ still.
+func (g *Gossip) exchange(ctx context.Context, to mwid.Address, n int) (left int, err error) {
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	res, err := g.step(ctx, to, ExchangeRequest{Tops: g.view.Load().tops()})
-	if err != nil || len(res.Tops) == 0 {
-		return err == nil, err
+	if err != nil {
+		return buckets, err
 	}
 	differ := shuffled(g.view.Load().differing(res.Tops))
 	if len(differ) == 0 {
-		return true, nil
+		return 0, nil
 	}
-	differ = differ[:min(len(differ), bucketsAtOnce)]
-	res, err = g.step(ctx, to, ExchangeRequest{Buckets: stampsOf(g.table.all(), differ)})
+	now := differ[:min(len(differ), n)]
+	left = len(differ) - len(now)
+	res, err = g.step(ctx, to, ExchangeRequest{Buckets: stampsOf(g.table.all(), now)})
 	if err != nil || len(res.Wants) == 0 {
-		return false, err
+		return left, err
 	}
 	rs, os := wanted(g.table.all(), res.Wants)
 	_, err = g.step(ctx, to, ExchangeRequest{Records: rs, Opinions: os})
-	return false, err
+	return left, err
 }
 
 // differing returns the buckets whose digests are not those in tops.
@@ -118,7 +123,7 @@
 		at[b] = &out[i]
 	}
 	for _, m := range ms {
-		if b := at[bucketOf(m.Node)]; b != nil {
+		if b := at[m.bucket()]; b != nil {
 			b.Stamps = append(b.Stamps, stampOf(m))
 		}
 	}
@@ -161,7 +166,7 @@
 			g.learnRecord(r)
 			continue
 		}
-		if g.table.record(r, time.Now()) {
+		if taken, _ := g.table.record(r, time.Now()); taken {
 			g.touch()
 		}
 	}
@@ -211,7 +216,7 @@
 	}
 	var res ExchangeReply
 	for _, m := range ms {
-		if !asked[bucketOf(m.Node)] {
+		if !asked[m.bucket()] {
 			continue
 		}
 		mine := stampOf(m)
--- a/mwlib/mwmember/gossip.go
+++ b/mwlib/mwmember/gossip.go
@@ -187,8 +187,17 @@
 	}
 }
 
-// viewGap is the least time between two views.
-const viewGap = 20 * time.Millisecond
+// How often views are made.
+const (
+	// viewGap is the least time between two views.
+	viewGap = 20 * time.Millisecond
+	// viewShare is the part of the time that may go into making views: one
+	// in viewShare.
+	viewShare = 50
+	// maxViewGap is the greatest time between two views, where a node is
+	// short of time.
+	maxViewGap = 250 * time.Millisecond
+)
 
 // buildViews makes a new view after changes.
 func (g *Gossip) buildViews(ctx context.Context) {
@@ -198,8 +207,9 @@
 			return
 		case <-g.dirty:
 		}
+		begin := time.Now()
 		g.rebuild()
-		if !sleep(ctx, viewGap) {
+		if !sleep(ctx, min(max(viewGap, viewShare*time.Since(begin)), maxViewGap)) {
 			return
 		}
 	}
--- a/mwlib/mwmember/join.go
+++ b/mwlib/mwmember/join.go
@@ -39,8 +39,8 @@
 	entryPeriod   = 30 * time.Second
 	storeTimeout  = 2 * time.Second
 	maxEntries    = 1024
-	joinAtOnce    = 8  // joinAtOnce is how many candidates are asked at the same time.
-	maxChunks     = 64 // maxChunks bounds the exchanges of one join.
+	joinAtOnce    = 8                           // joinAtOnce is how many candidates are asked at the same time.
+	maxChunks     = 2 * buckets / bucketsAtOnce // maxChunks bounds the exchanges of one join.
 )
 
 // joinAndEnter finds other nodes while none is known and, on a relay, keeps
@@ -87,7 +87,7 @@
 	found := make(chan mwid.Address, len(as))
 	for _, a := range as {
 		eg.Go(func() error {
-			_, err := g.exchange(ctx, a)
+			_, err := g.exchange(ctx, a, bucketsAtOnce)
 			if err == nil {
 				found <- a
 				return nil
@@ -116,7 +116,7 @@
 	if !ok || g.view.Load().others(g.self) == 0 {
 		return false
 	}
-	g.queueRecord(g.ownRecord())
+	g.queueRecord(g.ownRecord(), totalSends)
 	return true
 }
 
@@ -127,14 +127,16 @@
 	return g.own
 }
 
-// takeAll exchanges until nothing differs, first with the node at a, then
+// takeAll exchanges until nothing is left, first with the node at a, then
 // with others, so that those who start at the same time share the work.
 func (g *Gossip) takeAll(ctx context.Context, a mwid.Address) {
 	for range maxChunks {
 		g.rebuild()
-		if equal, err := g.exchange(ctx, a); equal || ctx.Err() != nil {
+		left, err := g.exchange(ctx, a, bucketsAtOnce)
+		if left == 0 || ctx.Err() != nil {
 			return
-		} else if err != nil {
+		}
+		if err != nil {
 			g.log.Debug("exchange failed", "Peer", a, "Error", err)
 		}
 		if more := g.Peers(1); len(more) > 0 {
@@ -203,7 +205,7 @@
 		if _, ok := g.table.get(e.Node); ok || e.Node == g.self {
 			continue
 		}
-		if _, err := g.exchange(ctx, addressOf(e.Node)); err != nil {
+		if _, err := g.exchange(ctx, addressOf(e.Node), bucketsAtOnce); err != nil {
 			g.log.Debug("entry silent", "Node", e.Node, "Error", err)
 		}
 		return
--- a/mwlib/mwmember/message.go
+++ b/mwlib/mwmember/message.go
@@ -84,8 +84,7 @@
 
 // stampOf returns the Stamp of m.
 func stampOf(m member) Stamp {
-	s := stamp(m.Node, m.Incarnation, m.health)
-	return Stamp(hash(m.Node)&^lowerHalf | s>>32)
+	return Stamp(m.hash&^lowerHalf | m.stamp>>32)
 }
 
 const lowerHalf = 1<<32 - 1
--- a/mwlib/mwmember/news.go
+++ b/mwlib/mwmember/news.go
@@ -15,10 +15,16 @@
 
 // How news is passed on.
 const (
-	eagerSends   = 3 // eagerSends is to how many neighbours news goes at once.
-	lazySends    = 3 // lazySends is on how many pings it rides after that.
-	totalSends   = eagerSends + lazySends
-	newsLimit    = mwunit.Bytes(1200) // newsLimit bounds the news in one message.
+	eagerSends = 3 // eagerSends is to how many neighbours news goes at once.
+	lazySends  = 3 // lazySends is on how many pings it rides after that.
+	totalSends = eagerSends + lazySends
+	// crowdSends is how often news of a new node is sent while much is
+	// queued, as when a whole zone starts; digests find what that misses.
+	crowdSends = 2
+	newsLimit  = mwunit.Bytes(1200) // newsLimit bounds the news in one message.
+	// newsFloor is the news that each message may have whatever was sent
+	// before, so that a refutation never waits.
+	newsFloor    = mwunit.Bytes(200)
 	exportLimit  = mwunit.Bytes(8192) // exportLimit bounds the news in one message to another zone.
 	collectDelay = 10 * time.Millisecond
 	passGap      = 100 * time.Millisecond
@@ -53,16 +59,23 @@
 
 // takeRecord takes r and, where it is news, queues it.
 func (g *Gossip) takeRecord(r Record) bool {
-	if !g.table.record(r, time.Now()) {
+	taken, known := g.table.record(r, time.Now())
+	if !taken {
+		g.records.known(r.Node)
 		return false
 	}
 	g.touch()
-	g.queueRecord(r)
+	n := totalSends
+	if !known && g.records.crowded() {
+		n = crowdSends
+	}
+	g.queueRecord(r, n)
 	return true
 }
 
-func (g *Gossip) queueRecord(r Record) {
-	g.records.put(r.Node, r, totalSends)
+// queueRecord queues r to be sent n times.
+func (g *Gossip) queueRecord(r Record, n int) {
+	g.records.put(r.Node, r, n)
 	g.opinions.drop(r.Node)
 	if r.Zone == g.zone && g.rank() < RelaysPerZone {
 		g.exportRecords.put(r.Node, r, 1)
@@ -74,6 +87,7 @@
 // takeOpinion takes o and, where it is news, queues it.
 func (g *Gossip) takeOpinion(o Opinion) bool {
 	if !g.noteOpinion(o) {
+		g.opinions.known(o.Node)
 		return false
 	}
 	g.queueOpinion(o)
@@ -165,10 +179,13 @@
 	}
 }
 
-// hasFresh tells whether some news was not yet sent to enough neighbours.
+// hasFresh tells whether some news was not yet sent to enough neighbours and
+// may be sent now.
 func (g *Gossip) hasFresh() bool {
-	return g.records.fresh(eagerSends, totalSends) || g.opinions.fresh(eagerSends, totalSends) ||
-		g.reaches.fresh(eagerSends, totalSends) || g.zones.fresh(eagerSends, totalSends)
+	if g.allowance.room(newsLimit) < newsLimit {
+		return false
+	}
+	return g.records.fresh(lazySends) || g.opinions.fresh(lazySends) || g.reaches.fresh(lazySends)
 }
 
 // passOnce sends news to some neighbours and, from a relay, to other zones.
@@ -193,7 +210,7 @@
 func (g *Gossip) message(limit mwunit.Bytes) Message {
 	m := g.header()
 	m.InForce = g.inForce()
-	room := g.allowance.room(limit)
+	room := max(g.allowance.room(limit), newsFloor)
 	before := room
 	m.Opinions = g.opinions.take(&room)
 	m.Records = g.records.take(&room)
--- a/mwlib/mwmember/queue.go
+++ b/mwlib/mwmember/queue.go
@@ -24,6 +24,9 @@
 	left int
 }
 
+// crowd is how much queued news makes a queue crowded.
+const crowd = 32
+
 func newQueue[K comparable, V news]() *queue[K, V] {
 	return &queue[K, V]{m: make(map[K]*queued[V])}
 }
@@ -35,6 +38,13 @@
 	q.m[k] = &queued[V]{v: v, left: n}
 }
 
+// crowded tells whether more than crowd news is queued.
+func (q *queue[K, V]) crowded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.m) > crowd
+}
+
 // drop takes the news of k back.
 func (q *queue[K, V]) drop(k K) {
 	q.mu.Lock()
@@ -42,12 +52,26 @@
 	delete(q.m, k)
 }
 
-// fresh tells whether some news was sent fewer times than n out of total.
-func (q *queue[K, V]) fresh(n, total int) bool {
+// known notes that another node had the news of k too, so that it need not
+// be sent as often.
+func (q *queue[K, V]) known(k K) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	x, ok := q.m[k]
+	if !ok {
+		return
+	}
+	if x.left--; x.left <= 0 {
+		delete(q.m, k)
+	}
+}
+
+// fresh tells whether some news is to be sent more than lazy times.
+func (q *queue[K, V]) fresh(lazy int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	for _, x := range q.m {
-		if x.left > total-n {
+		if x.left > lazy {
 			return true
 		}
 	}
--- a/mwlib/mwmember/relay.go
+++ b/mwlib/mwmember/relay.go
@@ -177,9 +177,10 @@
 	if !taken {
 		return
 	}
-	g.reaches.put(x.Relay, x, totalSends)
-	signal(g.wake)
+	g.reaches.put(x.Relay, x, lazySends)
 	if changed {
+		g.reaches.put(x.Relay, x, totalSends)
+		signal(g.wake)
 		g.log.Info("reach of other zones changed", "Relay", x.Relay, "Unreachable", x.Unreachable)
 		signal(g.dirty)
 	}
@@ -217,8 +218,7 @@
 		return s, true
 	})
 	if taken {
-		g.zones.put(s.Zone, s, totalSends)
-		signal(g.wake)
+		g.zones.put(s.Zone, s, lazySends)
 	}
 }
 
--- a/mwlib/mwmember/table.go
+++ b/mwlib/mwmember/table.go
@@ -11,6 +11,8 @@
 type member struct {
 	Record
 	health  Health
+	hash    uint64    // hash is that of Node.
+	stamp   uint64    // stamp is a hash of what is known of Node.
 	since   time.Time // since is when the node was first known alive.
 	changed time.Time // changed is when health became what it is.
 }
@@ -20,6 +22,12 @@
 	return Opinion{Node: m.Node, Zone: m.Zone, Incarnation: m.Incarnation, Health: m.health}
 }
 
+// seal sets the hashes of m after a change.
+func (m *member) seal() {
+	m.hash = hash(m.Node)
+	m.stamp = stamp(m.Node, m.Incarnation, m.health)
+}
+
 // table holds all known nodes, sharded by node.
 type table struct {
 	m *mwshard.Map[mwid.NodeID, member]
@@ -29,11 +37,11 @@
 	return &table{m: mwshard.New[mwid.NodeID, member](mwshard.DefaultShards)}
 }
 
-// record takes r where it is newer than what is known and tells whether it
-// was.
-func (t *table) record(r Record, now time.Time) bool {
-	taken := false
+// record takes r where it is newer than what is known. It tells whether it
+// was, and whether the node was known.
+func (t *table) record(r Record, now time.Time) (taken, known bool) {
 	t.m.Update(r.Node, func(m member, ok bool) (member, bool) {
+		known = ok
 		if ok && r.Incarnation <= m.Incarnation {
 			return m, true
 		}
@@ -45,9 +53,10 @@
 			m.changed = now
 		}
 		m.Record, m.health = r, Alive
+		m.seal()
 		return m, true
 	})
-	return taken
+	return taken, known
 }
 
 // opinion takes o where it overrides what is known and tells whether it did.
@@ -68,6 +77,7 @@
 		taken = true
 		m.health, m.changed = o.Health, now
 		m.Incarnation = max(m.Incarnation, o.Incarnation)
+		m.seal()
 		return m, true
 	})
 	return taken
--- a/mwlib/mwmember/view.go
+++ b/mwlib/mwmember/view.go
@@ -45,13 +45,13 @@
 	away     bool   // away tells that the zone can't be reached.
 }
 
-// bucketOf returns the bucket of n.
-func bucketOf(n mwid.NodeID) int { return int(hash(n) % buckets) }
+// bucket returns the bucket of m.
+func (m member) bucket() int { return int(m.hash % buckets) }
 
 // newView returns the view of ms. away tells which zones can't be reached,
 // once their relays are known.
 func newView(ms []member, away func(v *view, z mwid.ZoneName) bool) *view {
-	slices.SortFunc(ms, func(a, b member) int { return cmp.Compare(hash(a.Node), hash(b.Node)) })
+	slices.SortFunc(ms, func(a, b member) int { return cmp.Compare(a.hash, b.hash) })
 	v := &view{
 		targets: make(map[mwid.ServiceName][]mwcall.Target),
 		zones:   make(map[mwid.ZoneName]*zoneView),
@@ -89,12 +89,11 @@
 		z.dead = append(z.dead, m.Node)
 		return
 	}
-	s := stamp(m.Node, m.Incarnation, m.health)
-	v.digests[bucketOf(m.Node)] ^= s
-	v.digest ^= s
+	v.digests[m.bucket()] ^= m.stamp
+	v.digest ^= m.stamp
 	z.region = m.Region
 	z.live = append(z.live, m.Node)
-	z.ring = bits.RotateLeft64(z.ring, 1) ^ hash(m.Node)
+	z.ring = bits.RotateLeft64(z.ring, 1) ^ m.hash
 	switch {
 	case m.health == Suspect:
 		z.suspects = append(z.suspects, m.Node)
--- a/mwlib/mwmemnet/codec.go
+++ b/mwlib/mwmemnet/codec.go
@@ -25,16 +25,16 @@
 	dec *gob.Decoder
 }
 
-// carry encodes and decodes v, which points to a struct. It returns the
-// number of bytes and a pointer to the copy. A message that can't be encoded
-// is a mistake of the program, and it panics.
-func (s *codecs) carry(v any) (mwunit.Bytes, reflect.Value) {
-	c := s.take(reflect.TypeOf(v))
+// carry encodes and decodes head and v, which points to a struct. It returns
+// the number of bytes and a pointer to the copy of v. A message that can't be
+// encoded is a mistake of the program, and it panics.
+func (s *codecs) carry(head, v any) (mwunit.Bytes, reflect.Value) {
+	c := s.take(head, reflect.TypeOf(v))
 	defer s.put(c)
-	return c.carry(v)
+	return c.carryBoth(head, v)
 }
 
-func (s *codecs) take(t reflect.Type) *codec {
+func (s *codecs) take(head any, t reflect.Type) *codec {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if n := len(s.idle); n > 0 {
@@ -44,7 +44,7 @@
 	}
 	c := &codec{}
 	c.enc, c.dec = gob.NewEncoder(&c.buf), gob.NewDecoder(&c.buf)
-	c.carry(reflect.New(t.Elem()).Interface())
+	c.carryBoth(head, reflect.New(t.Elem()).Interface())
 	return c
 }
 
@@ -54,6 +54,12 @@
 	s.idle = append(s.idle, c)
 }
 
+func (c *codec) carryBoth(head, v any) (mwunit.Bytes, reflect.Value) {
+	h, _ := c.carry(head)
+	n, out := c.carry(v)
+	return h + n, out
+}
+
 func (c *codec) carry(v any) (mwunit.Bytes, reflect.Value) {
 	if err := c.enc.Encode(v); err != nil {
 		panic(fmt.Sprintf("mwmemnet: encode %T: %v", v, err))
--- a/mwlib/mwmemnet/network.go
+++ b/mwlib/mwmemnet/network.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/rpc"
 	"reflect"
 	"slices"
 	"strings"
@@ -160,6 +161,10 @@
 	p.traffic.Update(m, func(t Traffic, _ bool) (Traffic, bool) { return t.add(u), true })
 }
 
+// usualSeq is the number of a call on a connection that has been in use for
+// some time; its size counts.
+const usualSeq = 1000
+
 // Handle serves the methods of rcvr under name.
 func (p *Peer) Handle(name string, rcvr any) error {
 	v := reflect.ValueOf(rcvr)
@@ -177,7 +182,7 @@
 	if ok {
 		to = q.place
 	}
-	size, arg := n.codecsOf(method, "request").carry(req)
+	size, arg := n.codecsOf(method, "request").carry(&rpc.Request{ServiceMethod: method, Seq: usualSeq}, req)
 	p.count(m, Traffic{Calls: 1, Sent: size})
 	if err := n.travel(ctx, p, to, ok); err != nil {
 		return err
@@ -191,7 +196,7 @@
 	if err, _ := f.Call([]reflect.Value{arg, out})[0].Interface().(error); err != nil {
 		return err
 	}
-	size, back := n.codecsOf(method, "reply").carry(out.Interface())
+	size, back := n.codecsOf(method, "reply").carry(&rpc.Response{ServiceMethod: method, Seq: usualSeq}, out.Interface())
 	q.count(m, Traffic{Sent: size})
 	if err := n.travel(ctx, q, p.place, true); err != nil {
 		return err
--- /dev/null
+++ b/mwlib/mwslope/run.go
@@ -0,0 +1,341 @@
+package mwslope
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmember"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwoperator"
+	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// options are what Options change.
+type options struct {
+	zones   int
+	regions int
+	measure time.Duration
+	changes time.Duration
+	restart time.Duration
+	docs    int
+}
+
+// Option changes what Run measures.
+type Option = mwoption.Option[options]
+
+// WithZones sets the number of availability zones.
+func WithZones(n int) Option { return func(o *options) { o.zones = n } }
+
+// WithMeasure sets how long the steady state is measured.
+func WithMeasure(d time.Duration) Option { return func(o *options) { o.measure = d } }
+
+// WithChanges sets the time between two changes of the configuration; 0
+// stands for none.
+func WithChanges(d time.Duration) Option { return func(o *options) { o.changes = d } }
+
+// WithRestarts sets the time between two restarts of a node, each of which
+// leaves, ends and comes back with another boot id; 0 stands for none.
+func WithRestarts(d time.Duration) Option { return func(o *options) { o.restart = d } }
+
+// WithDocuments sets the number of documents of the configuration.
+func WithDocuments(n int) Option { return func(o *options) { o.docs = n } }
+
+// Defaults of the options.
+const (
+	DefaultZones    = 2
+	DefaultRegions  = 5
+	DefaultMeasure  = 10 * time.Second
+	DefaultChanges  = 4300 * time.Millisecond // DefaultChanges makes 20,000 changes a day.
+	DefaultDocs     = 100
+	joinTimeout     = 2 * time.Minute
+	inForceTimeout  = 30 * time.Second
+	look            = 10 * time.Millisecond
+	settleTime      = 3 * time.Second
+	startsAtOnce    = 16
+	startsAtOnceGap = 100 * time.Millisecond
+)
+
+// run is one measurement.
+type run struct {
+	options
+	cl  *mwcluster.Cluster
+	op  *mwoperator.Operator
+	rep Report
+}
+
+// Run measures control with n nodes in this process, over a network with the
+// latencies of the brief. It takes real time.
+func Run(ctx context.Context, n int, opts ...Option) (Report, error) {
+	o := options{
+		zones: DefaultZones, regions: DefaultRegions, measure: DefaultMeasure,
+		changes: DefaultChanges, docs: DefaultDocs,
+	}
+	mwoption.Apply(&o, opts...)
+	o.zones = min(o.zones, n)
+	cl, end := mwcluster.New()
+	defer end()
+	r := &run{options: o, cl: cl, op: mwoperator.New(cl.Store)}
+	r.rep.Nodes, r.rep.Zones = mwunit.Nodes(n), o.zones
+	for _, step := range []func(context.Context) error{r.fill, r.start, r.settle, r.measureAll} {
+		if err := step(ctx); err != nil {
+			return r.rep, err
+		}
+	}
+	return r.rep, nil
+}
+
+// fill writes the documents.
+func (r *run) fill(ctx context.Context) error {
+	var edits []mwoperator.Edit
+	for i := range r.docs {
+		edits = append(edits, mwoperator.Edit{Document: r.document(i, 0)})
+	}
+	if len(edits) == 0 {
+		return nil
+	}
+	_, err := r.op.Apply(ctx, mwid.NewOperationID(), "mwslope", edits)
+	return err
+}
+
+// document returns document i with an importance of n.
+func (r *run) document(i, n int) mwconfig.Document {
+	return mwconfig.Document{
+		Kind: mwconfig.KindPolicy, Name: mwconfig.DocumentName(fmt.Sprint("policy-", i)),
+		Spec: json.RawMessage(fmt.Sprintf(`{"Rank":%d,"Importance":%d,"Repeatable":true,"Deadline":"2s"}`, i, n)),
+	}
+}
+
+// place returns the place of node i.
+func (r *run) place(i int) mwmemnet.Place {
+	p := mwcluster.PlaceOf(i%r.zones, i/r.zones)
+	p.Region = mwid.RegionName(fmt.Sprint("region-", i%r.zones%r.regions))
+	return p
+}
+
+// start starts all nodes, some at a time, and notes what they hold.
+func (r *run) start(ctx context.Context) error {
+	before, goroutines := heap(), runtime.NumGoroutine()
+	begin := time.Now()
+	for i := range int(r.rep.Nodes) {
+		if err := r.startNode(r.place(i)); err != nil {
+			return err
+		}
+		if i%startsAtOnce == startsAtOnce-1 {
+			if err := pause(ctx, startsAtOnceGap); err != nil {
+				return err
+			}
+		}
+	}
+	if err := r.until(ctx, joinTimeout, func(n *mwcluster.Node) bool {
+		return n.Up() == int(r.rep.Nodes) && n.Version() > 0
+	}); err != nil {
+		return err
+	}
+	r.rep.Joined = time.Since(begin)
+	if err := pause(ctx, settleTime); err != nil {
+		return err
+	}
+	r.rep.Memory = (heap() - before) / mwunit.Bytes(r.rep.Nodes)
+	r.rep.Goroutines = (runtime.NumGoroutine() - goroutines) / int(r.rep.Nodes)
+	return nil
+}
+
+func (r *run) startNode(p mwmemnet.Place) error {
+	_, err := r.cl.Start(p, mwmember.WithJoin(r.place(0).Address, r.place(1).Address))
+	return err
+}
+
+// settle waits until joining has stopped to show.
+func (r *run) settle(ctx context.Context) error { return pause(ctx, settleTime) }
+
+// heap returns the size of the live heap.
+func heap() mwunit.Bytes {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return mwunit.Bytes(m.HeapAlloc)
+}
+
+// pause waits for d.
+func pause(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+// until waits until ok holds at all nodes.
+func (r *run) until(ctx context.Context, limit time.Duration, ok func(*mwcluster.Node) bool) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, n := range r.cl.Nodes() {
+		for !ok(n) {
+			if err := pause(ctx, look); err != nil {
+				return fmt.Errorf("mwslope: waiting for %s: %w", n.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
+// measureAll measures the steady state.
+func (r *run) measureAll(ctx context.Context) error {
+	nodes := r.cl.Nodes()
+	before := traffics(nodes)
+	cpu, begin := processorTime(), time.Now()
+	if err := r.load(ctx, begin); err != nil {
+		return err
+	}
+	r.rep.Measured = time.Since(begin)
+	r.rep.Core = mwunit.Ratio((processorTime() - cpu).Seconds() / r.rep.Measured.Seconds() / float64(r.rep.Nodes))
+	r.rep.Roles = roles(nodes, before, traffics(nodes), r.rep.Measured)
+	return nil
+}
+
+// load makes changes and restarts in turn until the time is over.
+func (r *run) load(ctx context.Context, begin time.Time) error {
+	nextChange, nextRestart := begin, begin.Add(r.restart/2)
+	for i := 0; time.Since(begin) < r.measure; i++ {
+		now := time.Now()
+		if r.changes > 0 && !now.Before(nextChange) {
+			nextChange = nextChange.Add(r.changes)
+			if err := r.change(ctx, i); err != nil {
+				return err
+			}
+		}
+		if r.restart > 0 && !now.Before(nextRestart) {
+			nextRestart = nextRestart.Add(r.restart)
+			if err := r.restartOne(ctx, i); err != nil {
+				return err
+			}
+		}
+		if err := pause(ctx, look); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// change changes one document and waits until that is in force everywhere.
+func (r *run) change(ctx context.Context, i int) error {
+	d := r.document(i%r.docs, i%int(mwunit.MaxImportance))
+	s, err := r.op.Get(ctx, d.Kind, d.Name)
+	if err != nil {
+		return err
+	}
+	done, err := r.op.Apply(ctx, mwid.NewOperationID(), "mwslope", []mwoperator.Edit{{Document: d, Expected: s.Revision}})
+	if err != nil {
+		return err
+	}
+	begin := time.Now()
+	err = r.until(ctx, inForceTimeout, func(n *mwcluster.Node) bool { return n.Version() >= done.Version })
+	r.rep.Changes = append(r.rep.Changes, time.Since(begin))
+	return err
+}
+
+// restartOne lets a node leave, waits until all know it, ends it and starts
+// its next life.
+func (r *run) restartOne(ctx context.Context, i int) error {
+	nodes := r.cl.Nodes()
+	x := nodes[(i*7919)%len(nodes)]
+	begin := time.Now()
+	x.Leave()
+	err := r.until(ctx, inForceTimeout, func(n *mwcluster.Node) bool {
+		s, ok := n.State(x.ID)
+		return !ok || s == mwcall.Leaving
+	})
+	r.rep.Leavers = append(r.rep.Leavers, time.Since(begin))
+	if err != nil {
+		return err
+	}
+	x.End()
+	return r.startNode(x.Place)
+}
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// traffic is the traffic of one node by method.
+type traffic struct {
+	methods []mwmemnet.Method
+	of      []mwmemnet.Traffic
+}
+
+func traffics(ns []*mwcluster.Node) []traffic {
+	out := make([]traffic, len(ns))
+	for i, n := range ns {
+		for _, m := range n.Peer.Methods() {
+			out[i].methods = append(out[i].methods, m)
+			out[i].of = append(out[i].of, n.Peer.TrafficOf(m))
+		}
+	}
+	return out
+}
+
+// get returns the traffic of m.
+func (t traffic) get(m mwmemnet.Method) mwmemnet.Traffic {
+	if i := slices.Index(t.methods, m); i >= 0 {
+		return t.of[i]
+	}
+	return mwmemnet.Traffic{}
+}
+
+// roles returns the rates of each role between before and after.
+func roles(ns []*mwcluster.Node, before, after []traffic, d time.Duration) []Role {
+	out := []Role{{Role: Plain}, {Role: Relay}}
+	var methods []mwmemnet.Method
+	for _, t := range after {
+		methods = append(methods, t.methods...)
+	}
+	slices.Sort(methods)
+	methods = slices.Compact(methods)
+	for i := range out {
+		r := &out[i]
+		var at []int
+		for j, n := range ns {
+			if n.Relay() == (r.Role == Relay) {
+				at = append(at, j)
+			}
+		}
+		r.Nodes = mwunit.Nodes(len(at))
+		for _, m := range methods {
+			r.add(rates(m, at, before, after, d))
+		}
+	}
+	return out
+}
+
+// rates returns the mean rates of method m over the nodes at.
+func rates(m mwmemnet.Method, at []int, before, after []traffic, d time.Duration) Kind {
+	k := Kind{Method: m}
+	per := mwunit.PerSecond(1 / (d.Seconds() * float64(max(len(at), 1))))
+	for _, i := range at {
+		a, b := after[i].get(m), before[i].get(m)
+		k.Calls += mwunit.PerSecond(a.Calls-b.Calls) * per
+		k.Served += mwunit.PerSecond(a.Served-b.Served) * per
+		k.Sent += mwunit.PerSecond(a.Sent-b.Sent) * per
+		k.Received += mwunit.PerSecond(a.Received-b.Received) * per
+	}
+	return k
+}
--- a/mwlib/mwversion/fanout_test.go
+++ b/mwlib/mwversion/fanout_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,12 +33,12 @@
 // awayFrom is a store that one zone can't reach while cut is true.
 type awayFrom struct {
 	mwstore.Store
-	cut *bool
+	cut *atomic.Bool
 }
 
 // Get reads a row where the store can be reached.
 func (s awayFrom) Get(ctx context.Context, k mwstore.Key) (mwstore.Row, error) {
-	if *s.cut {
+	if s.cut.Load() {
 		return mwstore.Row{}, mwcode.New(mwcode.StoreAway)
 	}
 	return s.Store.Get(ctx, k)
@@ -53,10 +54,10 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			isCut := false
+			var isCut atomic.Bool
 			run(t, 4, 5, func(cl *cluster) {
 				cl.within(limit, cl.apply("p", 1), cl.Nodes())
-				isCut = test.store
+				isCut.Store(test.store)
 				cl.Net.SetLost(cut("zone-c"))
 				time.Sleep(time.Minute)
 				in, out := cl.split("zone-c")
