--- /dev/null
+++ b/mwlib/mwlease/lease_test.go
@@ -0,0 +1,130 @@
+package mwlease_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwlease"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+const key mwstore.Key = "Lease/sweeper"
+
+// inStore runs f in virtual time with a stand-in of the store.
+func inStore(t *testing.T, f func(*qt.C, *mwfakestore.Store)) {
+	synctest.Test(t, func(t *testing.T) {
+		s, end := mwfakestore.New()
+		defer end()
+		f(qt.New(t), s)
+	})
+}
+
+func acquire(c *qt.C, s mwstore.Table) (*mwlease.Lease, func()) {
+	l, end, err := mwlease.Acquire(context.Background(), s, key)
+	c.Assert(err, qt.IsNil)
+	return l, end
+}
+
+func TestOneHolderAfterTheOther(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		a, endA := acquire(c, s)
+		got := make(chan *mwlease.Lease)
+		go func() {
+			b, endB := acquire(c, s)
+			got <- b
+			<-got
+			endB()
+		}()
+		time.Sleep(time.Hour)
+		c.Assert(a.Held(), qt.IsNil)
+		endA()
+		c.Assert(mwcode.Of(a.Held()), qt.Equals, mwcode.LeaseLost)
+		b := <-got
+		c.Assert(b.Held(), qt.IsNil)
+		c.Assert(b.Token() > a.Token(), qt.IsTrue)
+		close(got)
+	})
+}
+
+// paused is a table whose renewals stand still, as those of a paused holder.
+type paused struct {
+	mwstore.Table
+	on atomic.Bool
+}
+
+func (p *paused) Commit(ctx context.Context, t mwstore.Txn) (mwstore.Receipt, error) {
+	if p.on.Load() {
+		<-ctx.Done()
+		return mwstore.Receipt{}, mwcode.New(mwcode.StoreAway)
+	}
+	return p.Table.Commit(ctx, t)
+}
+
+// A holder that was paused must know of its lapse before another one can
+// have the lease, and its fenced writes must fail.
+func TestLapseAfterAPause(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		p := &paused{Table: s}
+		a, endA := acquire(c, p)
+		defer endA()
+		time.Sleep(time.Minute)
+		c.Assert(a.Held(), qt.IsNil)
+		p.on.Store(true)
+		b, endB := acquire(c, s)
+		defer endB()
+		c.Assert(mwcode.Of(a.Held()), qt.Equals, mwcode.LeaseLost)
+		<-a.Lost()
+		w := []mwstore.Write{{Key: "work", Value: []byte("done")}}
+		_, err := s.Commit(context.Background(), mwstore.Txn{Checks: []mwstore.Check{a.Fence()}, Writes: w})
+		c.Assert(mwcode.Of(err), qt.Equals, mwcode.Conflict)
+		time.Sleep(time.Minute) // A renewal does not change the fence.
+		_, err = s.Commit(context.Background(), mwstore.Txn{Checks: []mwstore.Check{b.Fence()}, Writes: w})
+		c.Assert(err, qt.IsNil)
+	})
+}
+
+func TestFaultsOfTheStore(t *testing.T) {
+	tests := []struct {
+		name   string
+		faults mwfakestore.Faults
+		d      time.Duration
+		held   bool
+	}{
+		{"short outage", mwfakestore.Faults{Away: true}, 4 * time.Second, true},
+		{"long outage", mwfakestore.Faults{Away: true}, 20 * time.Second, false},
+		{"answers lost for long", mwfakestore.Faults{Lost: 1}, 20 * time.Second, false},
+		{"one answer lost", mwfakestore.Faults{Lost: 1}, 4 * time.Second, true},
+		{"stale reads", mwfakestore.Faults{Stale: 1}, time.Hour, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+				l, end := acquire(c, s)
+				defer end()
+				s.SetFaults(test.faults)
+				time.Sleep(test.d)
+				s.SetFaults(mwfakestore.Faults{})
+				c.Assert(l.Held() == nil, qt.Equals, test.held)
+				time.Sleep(time.Minute)
+				c.Assert(l.Held() == nil, qt.Equals, test.held)
+			})
+		})
+	}
+}
+
+func TestLostAnswerOfTheFirstWrite(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		s.Lose(mwfakestore.Commit, 1)
+		l, end := acquire(c, s)
+		defer end()
+		_, err := s.Commit(context.Background(), mwstore.Txn{Checks: []mwstore.Check{l.Fence()}})
+		c.Assert(err, qt.IsNil)
+	})
+}
