--- a/mwlib/mwclaim/acquire.go
+++ b/mwlib/mwclaim/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
@@ -11,6 +12,10 @@
 // answers that are lost.
 const maxRounds = 8
 
+// runFirstWait is how long a first attempt that may run without a row waits
+// for the table.
+const runFirstWait = time.Second
+
 // seen is what a claimant knows of the row before it writes.
 type seen struct {
 	known bool // known tells that the row was read, or can be taken as absent.
@@ -21,6 +26,11 @@
 
 // acquire makes c the claimant of its key, or finds the kept answer.
 func (c *claim) acquire(ctx context.Context) error {
+	if c.l.o.runFirst && c.first {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, runFirstWait)
+		defer cancel()
+	}
 	s := seen{known: c.first}
 	sure := c.first // sure tells that no earlier attempt can have run.
 	for range maxRounds {
--- /dev/null
+++ b/mwlib/mwclaim/capacity_test.go
@@ -0,0 +1,111 @@
+package mwclaim_test
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwstoreclient"
+)
+
+// The store and the writers of 13 availability zones, two in each.
+const (
+	zoneWriters   = 26
+	tableWrites   = 300
+	tableDelay    = 5 * time.Millisecond
+	callerWait    = 5 * time.Second
+	capacityWarm  = 10 * time.Second
+	capacityTime  = 10 * time.Second
+	capacityTicks = 10 * time.Millisecond
+)
+
+// capacity is what writers achieved.
+type capacity struct {
+	mu      sync.Mutex
+	took    []time.Duration
+	refused int
+}
+
+func (m *capacity) add(took time.Duration, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err != nil {
+		m.refused++
+		return
+	}
+	m.took = append(m.took, took)
+}
+
+// quantile returns the wait that a part q of the claims did not exceed.
+func (m *capacity) quantile(q float64) time.Duration {
+	slices.Sort(m.took)
+	return m.took[int(q*float64(len(m.took)-1))]
+}
+
+// offer lets each of the writers claim rate calls a second.
+func offer(c *qt.C, s *mwfakestore.Store, rate int, opts ...mwclaim.Option) *capacity {
+	var m capacity
+	var wg sync.WaitGroup
+	for i := range zoneWriters {
+		cl, endClient := mwstoreclient.New(s)
+		defer endClient()
+		l, endLedger, err := mwclaim.New(cl, append([]mwclaim.Option{mwclaim.WithLog(quiet)}, opts...)...)
+		c.Assert(err, qt.IsNil)
+		defer endLedger()
+		wg.Go(func() {
+			start := time.Now()
+			for n := 0; time.Since(start) < capacityWarm+capacityTime; n++ {
+				due := start.Add(time.Duration(n) * time.Second / time.Duration(rate))
+				time.Sleep(time.Until(due))
+				k := mwid.CallKey(fmt.Sprintf("%d-%d", i, n))
+				wg.Go(func() { claimOne(l, k, &m, time.Since(start) > capacityWarm) })
+			}
+		})
+	}
+	wg.Wait()
+	return &m
+}
+
+func claimOne(l *mwclaim.Ledger, k mwid.CallKey, m *capacity, count bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerWait)
+	defer cancel()
+	begin := time.Now()
+	cl, err := l.Claim(ctx, order(k, true))
+	if count {
+		m.add(time.Since(begin), err)
+	}
+	if err == nil && cl.Begin() == nil {
+		_ = cl.Finish(ctx, mwcall.Kept("answer")) // It is written later.
+	}
+}
+
+// What a store of several hundred writes a second can carry must be carried
+// by writers that do not know of each other.
+func TestCapacity(t *testing.T) {
+	for _, rate := range []int{10, 40, 160} {
+		t.Run(fmt.Sprintf("%d calls a second", rate*zoneWriters), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s, end := mwfakestore.New(mwfakestore.WithWrites(tableWrites),
+					mwfakestore.WithFaults(mwfakestore.Faults{Delay: tableDelay}))
+				defer end()
+				m := offer(c, s, rate)
+				u := s.Usage()
+				t.Logf("granted %.0f a second, refused %.0f, wait %v median, %v p99; store: %+v",
+					float64(len(m.took))/capacityTime.Seconds(), float64(m.refused)/capacityTime.Seconds(),
+					m.quantile(0.5), m.quantile(0.99), u)
+				c.Check(m.refused, qt.Equals, 0)
+			})
+		})
+	}
+}
--- a/mwlib/mwclaim/lane.go
+++ b/mwlib/mwclaim/lane.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -24,10 +26,17 @@
 // put is a Put that waits in a lane.
 type put struct {
 	Put
-	gone   <-chan struct{} // gone is closed when nobody waits any more.
-	result chan putResult  // result has room for one.
+	state  atomic.Int32   // state is waiting, sent or gone.
+	result chan putResult // result has room for one.
 }
 
+// States of a put.
+const (
+	waiting int32 = iota
+	sent
+	gone // gone tells that nobody waits any more; it must not be sent.
+)
+
 type putResult struct {
 	revision mwid.Revision
 	err      error
@@ -66,10 +75,12 @@
 		for {
 			ps := l.collect(ctx)
 			if ctx.Err() != nil {
-				answerAll(append(ps, l.later...), mwcode.New(mwcode.StoreAway))
+				answerAll(append(ps, l.later...), putResult{err: mwcode.New(mwcode.StoreAway)})
 				return
 			}
-			l.commit(ctx, ps)
+			if !l.commit(ctx, marked(ps)) {
+				l.rest(ctx)
+			}
 		}
 	}()
 	return l, func() { cancel(); <-l.ended }
@@ -79,7 +90,7 @@
 // where the row has another revision; mwcode.StoreAway and mwcode.StoreSlow
 // where nothing was written; mwcode.StoreUnknown.
 func (l *lane) write(ctx context.Context, p Put) (mwid.Revision, error) {
-	w := &put{Put: p, gone: ctx.Done(), result: make(chan putResult, 1)}
+	w := &put{Put: p, result: make(chan putResult, 1)}
 	select {
 	case l.in <- w:
 	case <-l.ended:
@@ -91,6 +102,9 @@
 	case r := <-w.result:
 		return r.revision, r.err
 	case <-ctx.Done():
+		if w.state.CompareAndSwap(waiting, gone) {
+			return 0, mwcode.New(mwcode.StoreSlow, mwcode.Wrap(context.Cause(ctx)))
+		}
 		return 0, mwcode.New(mwcode.StoreUnknown, mwcode.Wrap(context.Cause(ctx)))
 	}
 }
@@ -99,9 +113,9 @@
 // until the window is over or the batch is full.
 func (l *lane) collect(ctx context.Context) []*put {
 	b := &gathering{keys: mwset.New[mwstore.Key]()}
-	waiting := l.later
+	ps := l.later
 	l.later = nil
-	for _, p := range waiting {
+	for _, p := range ps {
 		l.take(b, p)
 	}
 	if len(b.puts) == 0 {
@@ -136,10 +150,8 @@
 // take adds p to b, or keeps it for later where b has its row. It leaves out
 // what nobody waits for.
 func (l *lane) take(b *gathering, p *put) {
-	select {
-	case <-p.gone:
+	if p.state.Load() == gone {
 		return
-	default:
 	}
 	if b.keys.Has(p.Key) || len(b.puts) >= l.batch {
 		l.later = append(l.later, p)
@@ -149,29 +161,62 @@
 	b.puts = append(b.puts, p)
 }
 
-// commit writes ps and answers each.
-func (l *lane) commit(ctx context.Context, ps []*put) {
+// marked marks puts as sent and leaves out those that nobody waits for.
+func marked(ps []*put) []*put {
+	return slices.DeleteFunc(ps, func(p *put) bool { return !p.state.CompareAndSwap(waiting, sent) })
+}
+
+// commit writes ps and answers each. It returns false where the store was
+// too busy; the puts are then kept for later.
+func (l *lane) commit(ctx context.Context, ps []*put) bool {
 	for len(ps) > 0 {
 		l.stat.transactions.Inc()
 		l.stat.rows.Add(len(ps))
 		r, err := l.send(ctx, ps)
-		if err == nil {
-			for _, p := range ps {
-				p.result <- putResult{revision: r.Revision}
-			}
-			return
-		}
-		if mwcode.Of(err) != mwcode.Conflict || len(ps) == 1 {
-			answerAll(ps, err)
-			return
+		switch code := mwcode.Of(err); {
+		case code == mwcode.OK:
+			answerAll(ps, putResult{revision: r.Revision})
+			return true
+		case code == mwcode.StoreSlow:
+			l.keep(ps)
+			return false
+		case code != mwcode.Conflict || len(ps) == 1:
+			answerAll(ps, putResult{err: err})
+			return true
 		}
 		rest := l.sift(ctx, ps)
 		if len(rest) == len(ps) {
-			l.commit(ctx, ps[:len(ps)/2])
-			rest = ps[len(ps)/2:]
+			half := len(ps) / 2
+			if !l.commit(ctx, ps[:half]) {
+				l.keep(ps[half:])
+				return false
+			}
+			rest = ps[half:]
 		}
 		ps = rest
 	}
+	return true
+}
+
+// keep keeps puts of which nothing was written for the next batch.
+func (l *lane) keep(ps []*put) {
+	for _, p := range ps {
+		p.state.Store(waiting)
+	}
+	l.later = append(ps, l.later...)
+}
+
+// busyPause is the pause after the store was too busy.
+const busyPause = 20 * time.Millisecond
+
+// rest waits for busyPause.
+func (l *lane) rest(ctx context.Context) {
+	t := time.NewTimer(busyPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
 }
 
 // send runs one transaction of ps.
@@ -228,8 +273,8 @@
 	return t
 }
 
-func answerAll(ps []*put, err error) {
+func answerAll(ps []*put, r putResult) {
 	for _, p := range ps {
-		p.result <- putResult{err: err}
+		p.result <- r
 	}
 }
--- a/mwlib/mwclaim/ledger.go
+++ b/mwlib/mwclaim/ledger.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -62,6 +63,7 @@
 	batch    int
 	lanes    int
 	inline   mwunit.Bytes
+	group    groupOptions
 }
 
 // Option changes how New makes a Ledger.
@@ -106,7 +108,8 @@
 
 // New returns a Ledger over s; nil stands for a table that is always away.
 // The returned function ends the Ledger when no claim is in use any more.
-func New(s mwstore.Store, opts ...Option) (*Ledger, func()) {
+// Its error is that of the peers where WithGroup is given.
+func New(s mwstore.Store, opts ...Option) (*Ledger, func(), error) {
 	o := options{
 		log: slog.Default(), metrics: metrics.NewSet(), window: defaultWindow,
 		timeout: defaultTimeout, batch: defaultBatch, lanes: defaultLanes, inline: defaultInline,
@@ -125,12 +128,22 @@
 	l.write = l.writeHere
 	var end func()
 	l.settle, end = newSettler(l)
-	return l, func() {
-		end()
-		for _, f := range ends {
+	ends = append(ends, end)
+	endAll := func() {
+		for _, f := range slices.Backward(ends) {
 			f()
 		}
 	}
+	if o.group.writers < 1 {
+		return l, endAll, nil
+	}
+	g, err := newGroup(l, o.group)
+	if err != nil {
+		endAll()
+		return nil, nil, err
+	}
+	l.write = g.write
+	return l, endAll, nil
 }
 
 // writeHere writes p by the lane of its row.
--- a/mwlib/mwclaim/ledger_test.go
+++ b/mwlib/mwclaim/ledger_test.go
@@ -35,11 +35,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		s, end := mwfakestore.New()
 		defer end()
-		a, endA := mwclaim.New(s, opts...)
+		c := qt.New(t)
+		a, endA, err := mwclaim.New(s, opts...)
+		c.Assert(err, qt.IsNil)
 		defer endA()
-		b, endB := mwclaim.New(s, opts...)
+		b, endB, err := mwclaim.New(s, opts...)
+		c.Assert(err, qt.IsNil)
 		defer endB()
-		f(world{qt.New(t), s, a, b})
+		f(world{c, s, a, b})
 	})
 }
 
@@ -142,9 +145,10 @@
 
 func TestNoStore(t *testing.T) {
 	c := qt.New(t)
-	l, end := mwclaim.New(nil)
+	l, end, err := mwclaim.New(nil)
+	c.Assert(err, qt.IsNil)
 	defer end()
-	_, err := l.Claim(context.Background(), order("k", true))
+	_, err = l.Claim(context.Background(), order("k", true))
 	c.Assert(mwcode.Of(err), qt.Equals, mwcode.ClaimsAway)
 }
 
--- a/mwlib/mwclaim/plugin.go
+++ b/mwlib/mwclaim/plugin.go
@@ -1,6 +1,7 @@
 package mwclaim
 
 import (
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwregistry"
 )
@@ -12,7 +13,7 @@
 
 func newPlugin(env mwkernel.Env) (mwkernel.Ledger, mwregistry.Cleanup, error) {
 	set := env.Settings.Claim
-	l, end := New(env.Store,
+	opts := []Option{
 		WithNode(env.Node),
 		WithLog(env.Log),
 		WithMetrics(env.Metrics),
@@ -22,6 +23,23 @@
 		WithBatch(set.Batch),
 		WithLanes(set.Lanes),
 		WithInline(set.Inline),
-	)
-	return l, end, nil
+	}
+	if env.Peers != nil && env.Membership != nil && env.Store != nil {
+		opts = append(opts, WithGroup(env.Peers, env.Settings.Listen.Peer, zonePeers(env), set.Writers))
+	}
+	l, end, err := New(env.Store, opts...)
+	return l, end, err
+}
+
+// zonePeers returns a function that returns the peers of this availability
+// zone that are heard.
+func zonePeers(env mwkernel.Env) func() []mwid.Address {
+	return func() []mwid.Address {
+		for _, z := range env.Membership.Zones() {
+			if z.Zone == env.Settings.Place.Zone {
+				return env.Membership.Peers(max(0, z.Nodes-len(z.Unheard)-1))
+			}
+		}
+		return nil
+	}
 }
--- a/mwlib/mwclaim/schedule_test.go
+++ b/mwlib/mwclaim/schedule_test.go
@@ -59,7 +59,7 @@
 	runFirst := rapid.Bool().Draw(rt, "RunFirst")
 	stale := rapid.Bool().Draw(rt, "StaleReads")
 	seed := rapid.Uint64().Draw(rt, "Seed")
-	w, end := newCluster(scheduleNodes, seed, unchecked, mwclaim.WithRunFirst(runFirst))
+	w, end := newCluster(scheduleNodes, seed, unchecked, rapid.Bool().Draw(rt, "Group"), mwclaim.WithRunFirst(runFirst))
 	defer end()
 	node := rapid.IntRange(0, scheduleNodes-1)
 	key := rapid.SampledFrom([]mwid.CallKey{"a", "b", "c"})
@@ -73,6 +73,7 @@
 		},
 		"faults":  func(rt *rapid.T) { w.store.SetFaults(drawFaults(rt, stale)) },
 		"heal":    func(*rapid.T) { w.store.SetFaults(mwfakestore.Faults{}) },
+		"lose":    func(rt *rapid.T) { w.wire.setLost(ratio(rt, "LostMessages")) },
 		"cut":     func(rt *rapid.T) { w.links[node.Draw(rt, "Node")].cut.Store(true) },
 		"mend":    func(rt *rapid.T) { w.links[node.Draw(rt, "Node")].cut.Store(false) },
 		"restart": func(rt *rapid.T) { w.restart(node.Draw(rt, "Node")) },
@@ -96,6 +97,7 @@
 
 func (w *cluster) healAll() {
 	w.store.SetFaults(mwfakestore.Faults{})
+	w.wire.setLost(0)
 	for _, l := range w.links {
 		l.cut.Store(false)
 	}
--- a/mwlib/mwclaim/stat.go
+++ b/mwlib/mwclaim/stat.go
@@ -17,6 +17,8 @@
 	settled      *metrics.Counter
 	dropped      *metrics.Counter
 	clash        *metrics.Counter
+	grouped      *metrics.Counter
+	silent       *metrics.Counter
 }
 
 func newStats(s *metrics.Set) *stats {
@@ -33,6 +35,8 @@
 		readBack:     s.GetOrCreateCounter("mw_claim_read_backs_total"),
 		settled:      s.GetOrCreateCounter("mw_claim_settled_total"),
 		dropped:      s.GetOrCreateCounter("mw_claim_settle_dropped_total"),
+		grouped:      s.GetOrCreateCounter("mw_claim_grouped_total"),
+		silent:       s.GetOrCreateCounter("mw_claim_writer_silent_total"),
 		clash:        s.GetOrCreateCounter("mw_claim_clashes_total"),
 	}
 }
--- /dev/null
+++ b/mwlib/mwclaim/wire_test.go
@@ -0,0 +1,101 @@
+package mwclaim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// wire carries calls between ledgers, and loses some of them.
+type wire struct {
+	mu       sync.Mutex
+	services map[mwid.Address]*mwclaim.GroupService
+	random   *rand.Rand
+	lost     mwunit.Ratio // lost is the part of requests and of replies that are lost.
+	calls    int
+}
+
+func newWire(seed uint64) *wire {
+	return &wire{
+		services: make(map[mwid.Address]*mwclaim.GroupService),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+func (w *wire) setLost(r mwunit.Ratio) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lost = r
+}
+
+// draw tells whether a message is lost.
+func (w *wire) draw() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.random.Float64() < float64(w.lost)
+}
+
+// known returns every node but self.
+func (w *wire) known(self mwid.Address) []mwid.Address {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var as []mwid.Address
+	for a := range w.services {
+		if a != self {
+			as = append(as, a)
+		}
+	}
+	return as
+}
+
+// end is one node's end of a wire.
+type end struct {
+	w    *wire
+	self mwid.Address
+}
+
+var _ mwkernel.Peers = end{}
+
+func (e end) Handle(_ string, rcvr any) error {
+	e.w.mu.Lock()
+	defer e.w.mu.Unlock()
+	e.w.services[e.self] = rcvr.(*mwclaim.GroupService)
+	return nil
+}
+
+func (e end) Call(ctx context.Context, to mwid.Address, _ string, req, res any) error {
+	e.w.mu.Lock()
+	s := e.w.services[to]
+	e.w.calls++
+	e.w.mu.Unlock()
+	if e.w.draw() {
+		return mwcode.New(mwcode.Unreachable)
+	}
+	done := make(chan error, 1)
+	var reply mwclaim.GroupReply
+	go func() { done <- s.Group(req.(mwclaim.GroupRequest), &reply) }()
+	select {
+	case err := <-done:
+		if e.w.draw() || ctx.Err() != nil {
+			return mwcode.New(mwcode.Unreachable)
+		}
+		*res.(*mwclaim.GroupReply) = reply
+		return err
+	case <-ctx.Done():
+		return mwcode.New(mwcode.Unreachable)
+	}
+}
+
+// grouped returns the option by which node i writes through w.
+func (w *wire) grouped(i int) mwclaim.Option {
+	self := mwid.Address(fmt.Sprintf("10.0.0.%d:7002", i))
+	known := func() []mwid.Address { return w.known(self) }
+	return mwclaim.WithGroup(end{w, self}, self, known, 1)
+}
--- a/mwlib/mwclaim/world_test.go
+++ b/mwlib/mwclaim/world_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -75,7 +76,9 @@
 // cluster is nodes that share a store, and callers, in virtual time.
 type cluster struct {
 	opts  []mwclaim.Option
+	group bool
 	store *mwfakestore.Store
+	wire  *wire
 	links []*link
 	nodes []*life
 	wg    sync.WaitGroup
@@ -89,10 +92,10 @@
 // quiet discards what the ledgers log.
 var quiet = slog.New(slog.DiscardHandler)
 
-func newCluster(nodes int, seed uint64, unchecked bool, opts ...mwclaim.Option) (*cluster, func()) {
+func newCluster(nodes int, seed uint64, unchecked, group bool, opts ...mwclaim.Option) (*cluster, func()) {
 	s, end := mwfakestore.New(mwfakestore.WithSeed(seed))
 	w := &cluster{
-		opts:  append(opts, mwclaim.WithLog(quiet)),
+		opts: append(opts, mwclaim.WithLog(quiet)), group: group, wire: newWire(seed),
 		store: s, keys: make(map[mwid.CallKey]*keyState),
 	}
 	for range nodes {
@@ -110,7 +113,14 @@
 }
 
 func (w *cluster) boot(i int) {
-	l, end := mwclaim.New(w.links[i], w.opts...)
+	opts := slices.Clone(w.opts)
+	if w.group {
+		opts = append(opts, w.wire.grouped(i))
+	}
+	l, end, err := mwclaim.New(w.links[i], opts...)
+	if err != nil {
+		panic(err)
+	}
 	w.nodes[i] = &life{ledger: l, end: end}
 }
 
