--- a/mwlib/mwclaim/claim.go
+++ b/mwlib/mwclaim/claim.go
@@ -136,7 +136,7 @@
 			}
 			rev = n
 		}
-		_, err := c.l.write(ctx, Put{Key: c.key, Value: r.encode(), Revision: rev})
+		_, err := c.l.write(ctx, Put{Key: c.key, Value: r.encode(), Revision: rev, Lazy: r.State == Done})
 		switch mwcode.Of(err) {
 		case mwcode.OK:
 			return nil
--- a/mwlib/mwclaim/lane.go
+++ b/mwlib/mwclaim/lane.go
@@ -21,8 +21,14 @@
 	Key      mwstore.Key
 	Value    []byte
 	Revision mwid.Revision
+	// Lazy tells that no call waits for the write, so that it may wait for
+	// others that have to be written anyway.
+	Lazy bool
 }
 
+// lazyWait is the longest time that lazy writes wait for others.
+const lazyWait = 250 * time.Millisecond
+
 // put is a Put that waits in a lane.
 type put struct {
 	Put
@@ -53,7 +59,7 @@
 // since the second one would overwrite the first unseen.
 type lane struct {
 	table   mwstore.Table
-	window  time.Duration
+	window  *window
 	timeout time.Duration
 	batch   int
 	stat    *stats
@@ -66,7 +72,7 @@
 // answered with mwcode.StoreAway.
 func newLane(t mwstore.Table, o options, st *stats) (*lane, func()) {
 	l := &lane{
-		table: t, window: o.window, timeout: o.timeout, batch: max(1, o.batch),
+		table: t, window: newWindow(o.window), timeout: o.timeout, batch: max(1, o.batch),
 		stat: st, in: make(chan *put), ended: make(chan struct{}),
 	}
 	ctx, cancel := context.WithCancel(mwstoreclient.WithUse(context.Background(), mwstoreclient.Claims))
@@ -112,7 +118,7 @@
 // collect gathers the next batch: it waits for one put, and then for more
 // until the window is over or the batch is full.
 func (l *lane) collect(ctx context.Context) []*put {
-	b := &gathering{keys: mwset.New[mwstore.Key]()}
+	b := &gathering{keys: mwset.New[mwstore.Key](), lazy: true}
 	ps := l.later
 	l.later = nil
 	for _, p := range ps {
@@ -126,12 +132,16 @@
 			return nil
 		}
 	}
-	t := time.NewTimer(l.window)
+	t := time.NewTimer(l.wait(b))
 	defer t.Stop()
 	for len(b.puts) < l.batch {
 		select {
 		case p := <-l.in:
+			lazy := b.lazy
 			l.take(b, p)
+			if lazy && !b.lazy {
+				t.Reset(l.wait(b))
+			}
 		case <-t.C:
 			return b.puts
 		case <-ctx.Done():
@@ -141,10 +151,19 @@
 	return b.puts
 }
 
+// wait returns how long b is collected.
+func (l *lane) wait(b *gathering) time.Duration {
+	if b.lazy {
+		return max(l.window.length, lazyWait)
+	}
+	return l.window.length
+}
+
 // gathering is a batch that is being collected.
 type gathering struct {
 	puts []*put
 	keys mwset.Set[mwstore.Key]
+	lazy bool // lazy tells that all puts are.
 }
 
 // take adds p to b, or keeps it for later where b has its row. It leaves out
@@ -158,6 +177,7 @@
 		return
 	}
 	b.keys.Add(p.Key)
+	b.lazy = b.lazy && p.Lazy
 	b.puts = append(b.puts, p)
 }
 
@@ -223,7 +243,10 @@
 func (l *lane) send(ctx context.Context, ps []*put) (mwstore.Receipt, error) {
 	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
-	return l.table.Commit(ctx, txnOf(ps))
+	start := time.Now()
+	r, err := l.table.Commit(ctx, txnOf(ps))
+	l.window.observe(time.Since(start), mwcode.Of(err))
+	return r, err
 }
 
 // siftReads bounds the reads that sift has on their way.
--- a/mwlib/mwclaim/ledger.go
+++ b/mwlib/mwclaim/ledger.go
@@ -82,7 +82,8 @@
 // All ledgers of one table must agree on it.
 func WithRunFirst(b bool) Option { return func(o *options) { o.runFirst = b } }
 
-// WithWindow sets how long a row waits for others to share its transaction.
+// WithWindow sets the shortest time that a row waits for others to share its
+// transaction.
 func WithWindow(d time.Duration) Option { return func(o *options) { o.window = d } }
 
 // WithTimeout bounds one transaction.
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -102,9 +102,9 @@
 	KeyRequired bool `long:"key-required" env:"KEY_REQUIRED" description:"refuse work that must not repeat and has no key; without, such work runs once at the most by never being retried"`
 	RunFirst    bool `long:"run-first" env:"RUN_FIRST" description:"while the table is away, run calls that the caller declares as its first attempt"`
 
-	Window  time.Duration `long:"window" env:"WINDOW" default:"5ms" description:"longest time that a claim waits for others to share a transaction"`
+	Window  time.Duration `long:"window" env:"WINDOW" default:"5ms" description:"shortest time that a claim waits for others to share a transaction; it grows while the store is busy"`
 	Batch   int           `long:"batch" env:"BATCH" default:"256" description:"most claims in one transaction"`
-	Lanes   int           `long:"lanes" env:"LANES" default:"2" description:"transactions of claims that a node has on their way at a time"`
+	Lanes   int           `long:"lanes" env:"LANES" default:"1" description:"transactions of claims that a node has on their way at a time"`
 	Writers int           `long:"writers" env:"WRITERS" default:"2" description:"nodes of each availability zone that write the claims of all of it; 0 lets each node write its own"`
 
 	Inline mwunit.Bytes `long:"inline" env:"INLINE" default:"4096" description:"largest answer that is kept in the table, bytes; larger ones go to the object store"`
