mwlimit: round the limit, and judge larger windows

Cause: the limit was cut to whole slots, which takes half of a backend server with 2 slots. Change: the limit is rounded.

Change: windows of 30 calls, and a fall is judged after 6 windows.

--- a/mwlib/mwlimit/descent.go
+++ b/mwlib/mwlimit/descent.go
@@ -16,7 +16,7 @@
 const (
 	// descentWindows is the number of windows before a fall is judged: the
 	// latency lags behind.
-	descentWindows = 8
+	descentWindows = 6
 	// descentLeast is the part by which the limit must have fallen.
 	descentLeast = 0.25
 	// descentResponse is the part by which the latency must have eased, as a
--- a/mwlib/mwlimit/limiter.go
+++ b/mwlib/mwlimit/limiter.go
@@ -3,6 +3,7 @@
 package mwlimit
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -72,7 +73,7 @@
 	// windowTime is the least length of a window.
 	windowTime = 100 * time.Millisecond
 	// windowSamples is the least number of samples of a window.
-	windowSamples = 10
+	windowSamples = 30
 	// windowTimes is the greatest number of samples that the median is of.
 	windowTimes = 128
 	// windowLongest ends a window that has few samples.
@@ -111,7 +112,7 @@
 }
 
 // Limit returns the limit; it is at least 1.
-func (l *Limiter[P]) Limit() mwunit.Slots { return mwunit.Slots(l.limit) }
+func (l *Limiter[P]) Limit() mwunit.Slots { return mwunit.Slots(math.Round(l.limit)) }
 
 // Observe takes the sample of one finished call.
 func (l *Limiter[P]) Observe(now time.Time, s mwcall.Sample) {
