mwadmit: share a retired interface between its callers

Cause: one caller of a retired interface that floods it crowded out the others. Change: among equal importance, the call goes first whose caller has the fewest calls here. A band has paces of its own, since work on a retired interface is mostly slower, and the stay is no less than the time that a full queue takes.

--- a/mwlib/mwadmit/band.go
+++ b/mwlib/mwadmit/band.go
@@ -12,12 +12,17 @@
 // band is a group of calls with a floor and a ceiling of its own: those on
 // one retired interface, or all others. It has a queue for each lane, so that
 // what waits for the one does not hold up the other and can't push it out.
+//
+// The callers of a retired interface share its ceiling. Each call has a share:
+// the number of calls of its caller that are here already.
 type band struct {
 	version  mwid.Version // version is that of the bounds; older ones don't count.
 	floor    mwunit.Slots
 	ceiling  mwunit.Slots
 	inFlight mwunit.Slots
 	queues   [mwlane.Count]*queue
+	paces    [mwlane.Count]pace
+	callers  map[mwid.CallerName]mwunit.Slots // callers counts what is here; nil where it does not matter.
 }
 
 type queue = mwqueue.Queue[*ticket, mwqueue.ByPriority]
@@ -33,6 +38,27 @@
 	return b
 }
 
+// arrive counts a call of a caller that came and returns its share.
+func (b *band) arrive(c mwid.CallerName) mwunit.Slots {
+	if b.callers == nil {
+		return 0
+	}
+	n := b.callers[c]
+	b.callers[c] = n + 1
+	return n
+}
+
+// depart counts a call of a caller that is not here any more.
+func (b *band) depart(c mwid.CallerName) {
+	if b.callers == nil {
+		return
+	}
+	b.callers[c]--
+	if b.callers[c] == 0 {
+		delete(b.callers, c)
+	}
+}
+
 // open tells whether the ceiling allows one more call.
 func (b *band) open() bool { return b.inFlight < b.ceiling }
 
--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -7,6 +7,7 @@
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwlane"
 	"mustardwheel.example/mwlib/mwlimit"
@@ -31,7 +32,6 @@
 	slots   *mwlane.Slots
 	// announced is the number of slots that the backend server says it has.
 	announced mwunit.Slots
-	paces     [mwlane.Count]pace
 	plain     *band
 	retired   map[mwconfig.DocumentName]*band
 }
@@ -63,13 +63,13 @@
 func (g *gate[P]) enter(now time.Time, c *mwcall.Call, service time.Duration) (*ticket, mwcode.Code) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	t := &ticket{band: g.bandOf(c), lane: mwlane.Of(c.Class.Length)}
+	t := &ticket{band: g.bandOf(c), lane: mwlane.Of(c.Class.Length), caller: c.Caller}
 	t.entry = mwqueue.Entry[*ticket]{
-		Value: t, Key: mwqueue.Key{Priority: c.Class.Priority}, Came: now,
-		Deadline: c.Deadline, Service: service,
+		Value: t, Key: mwqueue.Key{Priority: c.Class.Priority, Share: t.band.arrive(c.Caller)},
+		Came: now, Deadline: c.Deadline, Service: service,
 	}
 	if code := g.fit(now, t); code != mwcode.OK {
-		g.forget(t.band)
+		g.end(t)
 		return nil, code
 	}
 	if t.band.open() && g.slots.Free(t.lane) {
@@ -82,15 +82,20 @@
 // enqueue lets t wait, and sheds what is worst where the queue is full.
 func (g *gate[P]) enqueue(t *ticket) (*ticket, mwcode.Code) {
 	q := t.band.queues[t.lane]
-	q.SetBounds(g.capacity(t.band, t.lane), g.cfg.wait)
+	n := g.capacity(t.band, t.lane)
+	q.SetBounds(n, max(g.cfg.wait, time.Duration(n)*g.interval(t.band, t.lane)))
 	shed := q.Push(&t.entry)
-	if shed != nil && shed.Value == t {
-		return nil, g.shedCode(t)
+	if shed == nil {
+		t.verdict = make(chan mwcode.Code, 1)
+		return t, mwcode.OK
 	}
-	t.verdict = make(chan mwcode.Code, 1)
-	if shed != nil {
-		shed.Value.refuse(g.shedCode(shed.Value))
+	code := g.shedCode(shed.Value)
+	g.end(shed.Value)
+	if shed.Value == t {
+		return nil, code
 	}
+	t.verdict = make(chan mwcode.Code, 1)
+	shed.Value.refuse(code)
 	return t, mwcode.OK
 }
 
@@ -114,6 +119,7 @@
 	b, ok := g.retired[v.Retired]
 	if !ok {
 		b = newBand(v.Floor, v.Ceiling, g.cfg.queue)
+		b.callers = make(map[mwid.CallerName]mwunit.Slots)
 		g.retired[v.Retired] = b
 	}
 	if c.Class.Version >= b.version {
@@ -151,7 +157,7 @@
 // wait returns how long t would probably wait: for those ahead of it in its
 // queue, at the rate at which its lane's slots become free.
 func (g *gate[P]) wait(t *ticket) time.Duration {
-	ahead := t.band.queues[t.lane].Ahead(t.entry.Priority) + 1
+	ahead := t.band.queues[t.lane].Ahead(t.entry.Key) + 1
 	return time.Duration(ahead) * g.interval(t.band, t.lane)
 }
 
@@ -159,7 +165,7 @@
 // calls of b in lane l.
 func (g *gate[P]) interval(b *band, l mwlane.Lane) time.Duration {
 	width := min(g.slots.Bound(l), max(b.ceiling, 1))
-	return g.paces[l].mean / time.Duration(width)
+	return b.paces[l].mean / time.Duration(width)
 }
 
 // capacity returns how many calls of b may wait in lane l: as many as can
@@ -191,8 +197,7 @@
 	switch t.state {
 	case queued:
 		t.band.queues[t.lane].Remove(&t.entry)
-		t.state = ended
-		g.forget(t.band)
+		g.end(t)
 	case running:
 		g.free(t)
 		g.pump(now)
@@ -212,7 +217,7 @@
 	}
 	g.free(t)
 	if s.Took > 0 && !s.Cancelled {
-		g.paces[t.lane] = g.paces[t.lane].note(now, s.Took)
+		t.band.paces[t.lane] = t.band.paces[t.lane].note(now, s.Took)
 	}
 	s.InFlight = t.inFlight
 	if t.lane == mwlane.Short {
@@ -224,9 +229,15 @@
 
 // free gives the slot of t back.
 func (g *gate[P]) free(t *ticket) {
-	t.state = ended
 	g.slots.Give(t.lane)
 	t.band.inFlight--
+	g.end(t)
+}
+
+// end notes that t is not here any more.
+func (g *gate[P]) end(t *ticket) {
+	t.state = ended
+	t.band.depart(t.caller)
 	g.forget(t.band)
 }
 
--- a/mwlib/mwadmit/load_test.go
+++ b/mwlib/mwadmit/load_test.go
@@ -63,6 +63,7 @@
 	retired    mwconfig.Verdict
 	slow       func(at time.Duration) float64 // slow is how many times longer a call takes at a time.
 	path       string
+	caller     mwid.CallerName
 }
 
 // load is one run of demands against one backend server behind one admission.
@@ -188,7 +189,7 @@
 
 func (r *runner) try(ctx context.Context, d demand, root mwid.RootID, took time.Duration) mwcode.Code {
 	c := newCall(d.importance, root)
-	c.Class.Length = d.length
+	c.Class.Length, c.Caller = d.length, d.caller
 	c.Class.Retired, c.Class.Floor, c.Class.Ceiling = d.retired.Retired, d.retired.Floor, d.retired.Ceiling
 	c.Deadline = time.Now().Add(d.timeout)
 	if r.class != nil {
--- a/mwlib/mwadmit/pump.go
+++ b/mwlib/mwadmit/pump.go
@@ -36,8 +36,8 @@
 // serve starts t, or refuses it where that would be too late.
 func (g *gate[P]) serve(now time.Time, t *ticket) {
 	if code := g.fitCode(now, t, 0); code != mwcode.OK {
+		g.end(t)
 		t.refuse(code)
-		g.forget(t.band)
 		return
 	}
 	g.start(t)
--- a/mwlib/mwadmit/ticket.go
+++ b/mwlib/mwadmit/ticket.go
@@ -2,6 +2,7 @@
 
 import (
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwlane"
 	"mustardwheel.example/mwlib/mwqueue"
 	"mustardwheel.example/mwlib/mwunit"
@@ -9,9 +10,10 @@
 
 // ticket is one call at a gate. The gate's lock guards it.
 type ticket struct {
-	band  *band
-	lane  mwlane.Lane
-	state state
+	band   *band
+	lane   mwlane.Lane
+	caller mwid.CallerName
+	state  state
 	// inFlight is the number of calls in flight when this one started.
 	inFlight mwunit.Slots
 	// verdict gets exactly one code once the ticket was queued: OK where the
@@ -30,8 +32,8 @@
 	ended
 )
 
-// start lets a queued ticket run; end refuses it. The channel has room for
-// the one code, so neither waits.
+// start lets a ticket run; refuse ends one that waits. The channel has room
+// for the one code, so neither blocks.
 func (t *ticket) start() {
 	t.state = running
 	if t.verdict != nil {
@@ -40,6 +42,5 @@
 }
 
 func (t *ticket) refuse(c mwcode.Code) {
-	t.state = ended
 	t.verdict <- c
 }
--- a/mwlib/mwqueue/order.go
+++ b/mwlib/mwqueue/order.go
@@ -12,12 +12,19 @@
 	Compare(a, b Key, overloaded bool) int
 }
 
-// ByPriority puts the greater priority first. Equal ones go oldest first, and
-// newest first in an overload: the newest still has most of its time left.
+// ByPriority puts the greater importance first, then the lesser share, then
+// the greater priority. Equal ones go oldest first, and newest first in an
+// overload: the newest still has most of its time left.
 type ByPriority struct{}
 
 // Compare implements Order.
 func (ByPriority) Compare(a, b Key, overloaded bool) int {
+	if c := cmp.Compare(a.Priority.Importance(), b.Priority.Importance()); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(b.Share, a.Share); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
--- a/mwlib/mwqueue/queue.go
+++ b/mwlib/mwqueue/queue.go
@@ -13,9 +13,9 @@
 // O leaves first; where the queue is full, what is worst is shed, the
 // newcomer or one that waits.
 //
-// Among entries of the least importance, one that waited for longer than the
-// stay is shed before the others. Its hash put it just below what gets in,
-// where it would wait for long and mostly in vain.
+// Among entries of the least importance, one that waited
+// for longer than the stay is shed before the others. Its hash put it just
+// below what gets in, where it would wait for long and mostly in vain.
 //
 // A Queue counts as overloaded from when it sheds an entry until it is half
 // empty again. No clock decides that, so a queue that demand has left is
@@ -49,6 +49,10 @@
 // Key is what orders entries.
 type Key struct {
 	Priority mwcall.Priority
+	// Share is how many calls of the same caller were here when the call
+	// came, where callers share a bound. Among equal importance the lesser
+	// one goes first, so that one caller can't crowd out the others.
+	Share mwunit.Slots
 	// seq counts entries from the oldest to the newest.
 	seq uint64
 }
@@ -144,10 +148,11 @@
 	return 0
 }
 
-// Ahead returns how many entries would leave before one of priority p that
-// came now.
-func (q *Queue[T, O]) Ahead(p mwcall.Priority) int {
-	e := &Entry[T]{Key: Key{Priority: p, seq: q.seq + 1}}
+// Ahead returns how many entries would leave before one with k that came
+// now.
+func (q *Queue[T, O]) Ahead(k Key) int {
+	k.seq = q.seq + 1
+	e := &Entry[T]{Key: k}
 	i, _ := slices.BinarySearchFunc(q.entries, e, q.compare)
 	return len(q.entries) - i
 }
