mwmember, mwversion: test losses and random schedules

A node that starts enters itself into the table only where it found nobody twice, since it took the row of a relay before.

--- a/mwlib/mwcluster/cluster.go
+++ b/mwlib/mwcluster/cluster.go
@@ -66,14 +66,7 @@
 	s, end := mwfakestore.New(mwfakestore.WithSeed(o.seed))
 	c := &Cluster{Net: mwmemnet.New(o.seed), Store: s, options: o}
 	return c, func() {
-		for _, n := range c.Nodes() {
-			n.cut()
-		}
-		var wg sync.WaitGroup
-		for _, n := range c.Nodes() {
-			wg.Go(n.End)
-		}
-		wg.Wait()
+		Vanish(c.Nodes()...)
 		end()
 	}
 }
@@ -166,12 +159,22 @@
 	})
 }
 
-// Vanish ends n without a farewell, as when its VM fails.
-func (n *Node) Vanish() {
-	n.cut()
-	n.End()
+// Vanish ends ns at the same time and without a farewell, as when their VMs
+// fail.
+func Vanish(ns ...*Node) {
+	for _, n := range ns {
+		n.cut()
+	}
+	var wg sync.WaitGroup
+	for _, n := range ns {
+		wg.Go(n.End)
+	}
+	wg.Wait()
 }
 
+// Cluster returns the Cluster of n.
+func (n *Node) Cluster() *Cluster { return n.c }
+
 // Nodes returns the nodes that run, in the order of their starts.
 func (c *Cluster) Nodes() []*Node {
 	c.mu.Lock()
--- a/mwlib/mwmember/exchange.go
+++ b/mwlib/mwmember/exchange.go
@@ -16,7 +16,11 @@
 	differTime      = 4 * time.Second // differTime makes a difference count also amid news.
 	leastBuckets    = 4               // leastBuckets are made equal in an exchange whatever was sent before.
 	bucketsAtOnce   = 16
-	bucketBytes     = mwunit.Bytes(2048) // bucketBytes is what an exchange of one bucket may take.
+	// In its first startTime a node exchanges as much as it needs, startGap
+	// apart, so that a zone that starts as a whole is soon complete.
+	startTime   = time.Minute
+	startGap    = 500 * time.Millisecond
+	bucketBytes = mwunit.Bytes(2048) // bucketBytes is what an exchange of one bucket may take.
 	// bulk is the number of records from one exchange above which they are
 	// not passed on as news; digests spread them then.
 	bulk = 64
@@ -32,7 +36,7 @@
 	now := time.Now()
 	g.differs.CompareAndSwap(0, now.UnixNano())
 	quiet := now.Sub(time.Unix(0, g.changed.Load())) > quietTime
-	if !quiet && now.Sub(time.Unix(0, g.differs.Load())) < differTime {
+	if !quiet && !g.starting() && now.Sub(time.Unix(0, g.differs.Load())) < differTime {
 		return
 	}
 	select {
@@ -41,6 +45,9 @@
 	}
 }
 
+// starting tells whether this node started lately.
+func (g *Gossip) starting() bool { return time.Since(g.started) < startTime }
+
 // exchangeOnDemand makes the exchanges that were asked for.
 func (g *Gossip) exchangeOnDemand(ctx context.Context) {
 	for {
@@ -48,17 +55,28 @@
 		case <-ctx.Done():
 			return
 		case to := <-g.sync:
-			n := leastBuckets + g.allowance.room((bucketsAtOnce-leastBuckets)*bucketBytes)/bucketBytes
-			if _, err := g.exchange(ctx, to, int(n)); err != nil {
+			if _, err := g.exchange(ctx, to, g.bucketsNow()); err != nil {
 				g.log.Debug("exchange failed", "Peer", to, "Error", err)
 			}
 		}
-		if !sleep(ctx, exchangeGap) {
+		gap := exchangeGap
+		if g.starting() {
+			gap = startGap
+		}
+		if !sleep(ctx, gap) {
 			return
 		}
 	}
 }
 
+// bucketsNow returns how many buckets an exchange may make equal now.
+func (g *Gossip) bucketsNow() int {
+	if g.starting() {
+		return bucketsAtOnce
+	}
+	return leastBuckets + int(g.allowance.room((bucketsAtOnce-leastBuckets)*bucketBytes)/bucketBytes)
+}
+
 // step makes one step of an exchange and learns from the reply.
 func (g *Gossip) step(ctx context.Context, to mwid.Address, r ExchangeRequest) (ExchangeReply, error) {
 	r.From = g.self
--- a/mwlib/mwmember/gossip.go
+++ b/mwlib/mwmember/gossip.go
@@ -66,6 +66,8 @@
 	changed   atomic.Int64 // changed is when the table changed last, Unix time in nanoseconds.
 	differs   atomic.Int64 // differs is since when digests of others differ; 0 where they don't.
 
+	started time.Time
+
 	dirty chan struct{}     // dirty asks for a new view.
 	wake  chan struct{}     // wake tells that there is fresh news.
 	sync  chan mwid.Address // sync asks for an exchange.
@@ -157,6 +159,7 @@
 		summaries: mwshard.New[mwid.ZoneName, Summary](1),
 		versions:  mwshard.New[mwid.NodeID, mwid.Version](mwshard.DefaultShards),
 		allowance: newAllowance(o.rate),
+		started:   time.Now(),
 		newest:    newest{ch: make(chan struct{}, 1)},
 		dirty:     make(chan struct{}, 1),
 		wake:      make(chan struct{}, 1),
--- a/mwlib/mwmember/gossip_test.go
+++ b/mwlib/mwmember/gossip_test.go
@@ -71,7 +71,7 @@
 	run(t, 2, 8, func(cl *cluster) {
 		cl.settled(30 * time.Second)
 		gone := cl.Nodes()[3]
-		gone.Vanish()
+		mwcluster.Vanish(gone)
 		cl.within(10*time.Second, "death known", everywhere(cl.Nodes(), isGone(gone.ID)))
 	})
 }
@@ -89,7 +89,7 @@
 	run(t, 2, 6, func(cl *cluster) {
 		cl.settled(30 * time.Second)
 		old := cl.Nodes()[2]
-		old.Vanish()
+		mwcluster.Vanish(old)
 		x := cl.start(old.Place)
 		cl.within(3*time.Second, "new boot known", everywhere(cl.Nodes(), isIn(x.ID, mwcall.Up)))
 		cl.within(3*time.Second, "old boot dead", everywhere(cl.Nodes(), isGone(old.ID)))
@@ -146,7 +146,7 @@
 		cl.settled(30 * time.Second)
 		for _, n := range cl.Nodes() {
 			if n.Place.Zone == "zone-a" && n.Relay() {
-				n.Vanish()
+				mwcluster.Vanish(n)
 			}
 		}
 		cl.c.Assert(cl.Nodes(), qt.HasLen, 24-mwmember.RelaysPerZone)
--- a/mwlib/mwmember/join.go
+++ b/mwlib/mwmember/join.go
@@ -46,31 +46,47 @@
 // joinAndEnter finds other nodes while none is known and, on a relay, keeps
 // the table's entry rows.
 func (g *Gossip) joinAndEnter(ctx context.Context) {
-	wait := firstJoinWait
 	for {
+		wait := entryPeriod/2 + rand.N(entryPeriod)
 		if g.view.Load().others(g.self) == 0 {
-			if g.joinAny(ctx, g.candidates(ctx)) {
-				wait = firstJoinWait
-				continue
-			}
-			if !sleep(ctx, wait+rand.N(wait)) {
+			if !g.joinFirst(ctx) {
 				return
 			}
-			wait = min(2*wait, maxJoinWait)
-			continue
+			wait = rand.N(entryPeriod)
 		}
-		g.keepEntries(ctx)
-		if !sleep(ctx, entryPeriod/2+rand.N(entryPeriod)) {
+		if !sleep(ctx, wait) {
 			return
 		}
+		g.keepEntries(ctx)
 	}
 }
 
-// candidates returns the addresses from the settings and from the table, in
-// random order. A node that is alone enters itself, so that others find it.
-func (g *Gossip) candidates(ctx context.Context) []mwid.Address {
+// joinFirst tries until another node is known. It returns false when ctx is
+// done. A node that found nobody twice enters itself into the table, so that
+// others find it; of many that start at the same time most find an entry by
+// then.
+func (g *Gossip) joinFirst(ctx context.Context) bool {
+	wait := firstJoinWait
+	for tries := 0; g.view.Load().others(g.self) == 0; tries++ {
+		es := g.entries(ctx)
+		if g.joinAny(ctx, g.candidates(es)) {
+			return true
+		}
+		if tries > 0 {
+			g.enterIn(ctx, es, 0)
+		}
+		if !sleep(ctx, wait+rand.N(wait)) {
+			return false
+		}
+		wait = min(2*wait, maxJoinWait)
+	}
+	return true
+}
+
+// candidates returns the addresses from the settings and from es.
+func (g *Gossip) candidates(es []Entry) []mwid.Address {
 	out := slices.Clone(g.join)
-	for _, e := range g.keepEntries(ctx) {
+	for _, e := range es {
 		out = append(out, addressOf(e.Node))
 	}
 	out = slices.DeleteFunc(out, func(a mwid.Address) bool { return a == g.addr })
@@ -145,12 +161,21 @@
 	}
 }
 
-// keepEntries reads the entry rows, enters this node where it is a relay and
-// makes contact with nodes that were not known. It returns the rows.
-func (g *Gossip) keepEntries(ctx context.Context) []Entry {
+// keepEntries enters this node where it is a relay, and makes contact with
+// nodes that were not known.
+func (g *Gossip) keepEntries(ctx context.Context) {
 	i := g.rank()
-	alone := g.view.Load().others(g.self) == 0
-	if g.rows == nil || (i >= RelaysPerZone && !alone) {
+	if i >= RelaysPerZone {
+		return
+	}
+	es := g.entries(ctx)
+	g.enterIn(ctx, es, i)
+	g.contactUnknown(ctx, es)
+}
+
+// entries returns the entry rows, none where they can't be read.
+func (g *Gossip) entries(ctx context.Context) []Entry {
+	if g.rows == nil {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -158,17 +183,20 @@
 	es, err := readEntries(ctx, g.rows)
 	if err != nil {
 		g.log.Warn("entry rows not read", "Code", int(mwcode.Of(err)), "Error", err)
-		return nil
 	}
-	if !slices.Contains(es, Entry{Node: g.self, Zone: g.zone}) {
-		if err := g.enter(ctx, i); err != nil {
-			g.log.Warn("entry row not written", "Code", int(mwcode.Of(err)), "Error", err)
-		}
+	return es
+}
+
+// enterIn writes this node into entry row i of its zone where es lacks it.
+func (g *Gossip) enterIn(ctx context.Context, es []Entry, i int) {
+	if g.rows == nil || slices.Contains(es, Entry{Node: g.self, Zone: g.zone}) {
+		return
 	}
-	if !alone {
-		g.contactUnknown(ctx, es)
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	if err := g.enter(ctx, i); err != nil {
+		g.log.Warn("entry row not written", "Code", int(mwcode.Of(err)), "Error", err)
 	}
-	return es
 }
 
 func readEntries(ctx context.Context, t mwstore.Table) ([]Entry, error) {
--- /dev/null
+++ b/mwlib/mwmember/loss_test.go
@@ -0,0 +1,81 @@
+package mwmember_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// Sizes of a zone that is lost, and of the others.
+const (
+	largeZone = 48
+	smallZone = 8
+)
+
+// runLoss runs f on a large zone and two small ones.
+func runLoss(t *testing.T, f func(cl *cluster, large []*mwcluster.Node)) {
+	run(t, 0, 0, func(cl *cluster) {
+		var large []*mwcluster.Node
+		for i := range largeZone {
+			large = append(large, cl.start(mwcluster.PlaceOf(0, i)))
+		}
+		for i := range smallZone {
+			cl.start(mwcluster.PlaceOf(1, i))
+			cl.start(mwcluster.PlaceOf(2, i))
+		}
+		cl.settled(30 * time.Second)
+		f(cl, large)
+	})
+}
+
+// idsOf returns the ids of ns.
+func idsOf(ns []*mwcluster.Node) []mwid.NodeID {
+	var out []mwid.NodeID
+	for _, n := range ns {
+		out = append(out, n.ID)
+	}
+	return out
+}
+
+func TestZoneIsLostAndReplaced(t *testing.T) {
+	runLoss(t, func(cl *cluster, large []*mwcluster.Node) {
+		mwcluster.Vanish(large...)
+		cl.within(8*time.Second, "lost zone is unreachable", everywhere(cl.Nodes(), isIn(large[7].ID, mwcall.Unreachable)))
+		rest := cl.Nodes()
+		for _, n := range large {
+			cl.start(n.Place)
+		}
+		cl.within(30*time.Second, "old boots are dead", everywhere(cl.Nodes(), isGone(idsOf(large)...)))
+		cl.settled(30 * time.Second)
+		for _, n := range rest {
+			cl.c.Check(n.Metrics.GetOrCreateCounter("mw_member_refutations_total").Get(), qt.Equals, uint64(0))
+		}
+	})
+}
+
+func TestMostOfAZoneIsLost(t *testing.T) {
+	runLoss(t, func(cl *cluster, large []*mwcluster.Node) {
+		lost := large[:largeZone*4/5]
+		mwcluster.Vanish(lost...)
+		cl.within(60*time.Second, "lost nodes are dead", everywhere(cl.Nodes(), isGone(idsOf(lost)...)))
+		cl.settled(5 * time.Second)
+	})
+}
+
+func TestAllRestartAtOnce(t *testing.T) {
+	run(t, 3, 12, func(cl *cluster) {
+		cl.settled(30 * time.Second)
+		old := cl.Nodes()
+		mwcluster.Vanish(old...)
+		for _, n := range old {
+			cl.start(n.Place)
+		}
+		cl.within(10*time.Second, "old boots are dead", everywhere(cl.Nodes(), isGone(idsOf(old)...)))
+		cl.settled(10 * time.Second)
+	})
+}
--- a/mwlib/mwmember/news.go
+++ b/mwlib/mwmember/news.go
@@ -102,6 +102,7 @@
 	g.touch()
 	if o.Health == Dead {
 		g.versions.Delete(o.Node)
+		g.reach.Delete(o.Node)
 		g.records.drop(o.Node)
 		g.stat.deaths.Inc()
 		g.log.Info("node dead", "Node", o.Node, "Zone", o.Zone)
--- a/mwlib/mwversion/cluster_test.go
+++ b/mwlib/mwversion/cluster_test.go
@@ -54,14 +54,19 @@
 	return n
 }
 
+// policy returns a policy that gives importance n.
+func policy(name mwconfig.DocumentName, n int) mwconfig.Document {
+	return mwconfig.Document{
+		Kind: mwconfig.KindPolicy, Name: name,
+		Spec: json.RawMessage(fmt.Sprintf(`{"Importance":%d}`, n)),
+	}
+}
+
 // apply lets an operator make a change and returns its version.
 func (cl *cluster) apply(name mwconfig.DocumentName, importance int) mwid.Version {
 	cl.t.Helper()
 	ctx := cl.t.Context()
-	e := mwoperator.Edit{Document: mwconfig.Document{
-		Kind: mwconfig.KindPolicy, Name: name,
-		Spec: json.RawMessage(fmt.Sprintf(`{"Importance":%d}`, importance)),
-	}}
+	e := mwoperator.Edit{Document: policy(name, importance)}
 	if s, err := cl.op.Get(ctx, mwconfig.KindPolicy, name); err == nil {
 		e.Expected = s.Revision
 	}
--- a/mwlib/mwversion/fanout_test.go
+++ b/mwlib/mwversion/fanout_test.go
@@ -85,7 +85,7 @@
 		time.Sleep(10 * time.Minute)
 		cl.c.Assert(inForce(v, cl.Nodes()), qt.IsTrue)
 		for _, n := range cl.Nodes()[:9] { // All but one are replaced, one after the other.
-			n.Vanish()
+			mwcluster.Vanish(n)
 			x := cl.start(n.Place)
 			cl.within(limit, v, []*mwcluster.Node{x})
 		}
--- /dev/null
+++ b/mwlib/mwversion/random_test.go
@@ -0,0 +1,212 @@
+package mwversion_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwoperator"
+)
+
+// act is one step of a random schedule.
+type act struct {
+	what string
+	n    int
+	wait time.Duration
+}
+
+// acts are what may happen, by name.
+var acts = map[string]func(s *schedule, n int){
+	"apply":   func(s *schedule, n int) { s.apply(n) },
+	"cut":     func(s *schedule, n int) { s.cl.Net.SetLost(cut(mwcluster.PlaceOf(n%zones, 0).Zone)) },
+	"heal":    func(s *schedule, _ int) { s.cl.Net.SetLost(nil) },
+	"away":    func(s *schedule, _ int) { s.cl.Store.SetFaults(away) },
+	"stale":   func(s *schedule, _ int) { s.cl.Store.SetFaults(mwfakestore.Faults{Stale: 0.5}) },
+	"lossy":   func(s *schedule, _ int) { s.cl.Store.SetFaults(mwfakestore.Faults{Lost: 0.3, Dropped: 0.3}) },
+	"back":    func(s *schedule, _ int) { s.cl.Store.SetFaults(mwfakestore.Faults{}) },
+	"replace": func(s *schedule, n int) { s.replace(n) },
+}
+
+// Sizes of the clusters under random schedules.
+const (
+	zones   = 3
+	perZone = 2
+)
+
+// genActs generates schedules.
+func genActs() *rapid.Generator[[]act] {
+	one := rapid.Custom(func(t *rapid.T) act {
+		return act{
+			what: rapid.SampledFrom([]string{
+				"apply", "apply", "apply", "cut", "heal", "away", "stale", "lossy", "back", "back", "replace",
+			}).Draw(t, "what"),
+			n:    rapid.IntRange(0, 99).Draw(t, "n"),
+			wait: time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond,
+		}
+	})
+	return rapid.SliceOfN(one, 1, 20)
+}
+
+// viewer sees which version is in force at a node.
+type viewer interface{ Version() mwid.Version }
+
+// schedule runs acts on a cluster and watches the promises.
+type schedule struct {
+	cl       *cluster
+	view     func(*mwcluster.Node) viewer
+	seen     map[*mwcluster.Node]mwid.Version
+	accepted mwid.Version
+	err      error
+}
+
+func (s *schedule) fail(format string, args ...any) {
+	if s.err == nil {
+		s.err = fmt.Errorf(format, args...)
+	}
+}
+
+// apply lets an operator make a change; it may fail while the store is away.
+func (s *schedule) apply(n int) {
+	name := mwconfig.DocumentName(fmt.Sprint("p", n%3))
+	e := mwoperator.Edit{Document: policy(name, n)}
+	ctx := s.cl.t.Context()
+	if d, err := s.cl.op.Get(ctx, mwconfig.KindPolicy, name); err == nil {
+		e.Expected = d.Revision
+	}
+	r, err := s.cl.op.Apply(ctx, mwid.NewOperationID(), "eva", []mwoperator.Edit{e})
+	if err != nil {
+		return
+	}
+	if r.Version <= s.accepted {
+		s.fail("version %d was accepted after %d", r.Version, s.accepted)
+	}
+	s.accepted = r.Version
+}
+
+// replace replaces the VM of a node.
+func (s *schedule) replace(n int) {
+	x := s.cl.Nodes()[n%len(s.cl.Nodes())]
+	mwcluster.Vanish(x)
+	delete(s.seen, x)
+	s.cl.start(x.Place)
+}
+
+// watch looks at all nodes for d.
+func (s *schedule) watch(d time.Duration) {
+	for end := time.Now().Add(d); !time.Now().After(end); time.Sleep(step) {
+		for _, n := range s.cl.Nodes() {
+			v := s.view(n).Version()
+			if v < s.seen[n] {
+				s.fail("version %d after %d at %s", v, s.seen[n], n.ID)
+			}
+			s.seen[n] = v
+		}
+	}
+}
+
+// run runs as, ends all faults and checks that what was accepted is in
+// force.
+func (s *schedule) run(as []act) error {
+	for _, a := range as {
+		acts[a.what](s, a.n)
+		s.watch(a.wait)
+	}
+	s.cl.Net.SetLost(nil)
+	s.cl.Store.SetFaults(mwfakestore.Faults{})
+	s.watch(limit)
+	for _, n := range s.cl.Nodes() {
+		if v := s.view(n).Version(); v < s.accepted {
+			s.fail("version %d in place of %d at %s, %v after the last fault", v, s.accepted, n.ID, limit)
+		}
+	}
+	return s.err
+}
+
+// runActs runs as in virtual time, seen through view.
+func runActs(t *testing.T, as []act, view func(*mwcluster.Node) viewer) (err error) {
+	synctest.Test(t, func(t *testing.T) {
+		x, end := mwcluster.New()
+		defer end()
+		cl := &cluster{x, t, qt.New(t), mwoperator.New(x.Store)}
+		for i := range zones * perZone {
+			cl.start(mwcluster.PlaceOf(i%zones, i/zones))
+		}
+		s := &schedule{cl: cl, view: view, seen: make(map[*mwcluster.Node]mwid.Version)}
+		s.watch(2 * time.Second)
+		err = s.run(as)
+	})
+	return err
+}
+
+func TestRandomSchedules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		as := genActs().Draw(rt, "acts")
+		if err := runActs(t, as, func(n *mwcluster.Node) viewer { return n }); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
+
+// believer is a fault: it takes whatever version the table shows.
+type believer struct {
+	t    *testing.T
+	op   *mwoperator.Operator
+	last mwid.Version
+}
+
+// Version returns what the table shows, or the last that it showed.
+func (b *believer) Version() mwid.Version {
+	if v, err := b.op.Version(b.t.Context()); err == nil {
+		b.last = v
+	}
+	return b.last
+}
+
+// TestRandomSchedulesFindAFault shows that the watch sees a node that takes
+// lower versions, and one that takes none.
+func TestRandomSchedulesFindAFault(t *testing.T) {
+	tests := []struct {
+		name string
+		view func(t *testing.T, n *mwcluster.Node) viewer
+		want string
+	}{{
+		name: "takes lower versions",
+		view: func(t *testing.T, n *mwcluster.Node) viewer {
+			return &believer{t: t, op: mwoperator.New(n.Cluster().Store)}
+		},
+		want: "version . after .*",
+	}, {
+		name: "takes no versions",
+		view: func(*testing.T, *mwcluster.Node) viewer { return deaf{} },
+		want: "version 0 in place of .*",
+	}}
+	as := []act{
+		{"apply", 1, time.Second}, {"apply", 2, time.Second}, {"stale", 0, 3 * time.Second}, {"back", 0, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			views := make(map[*mwcluster.Node]viewer)
+			err := runActs(t, as, func(n *mwcluster.Node) viewer {
+				if views[n] == nil {
+					views[n] = test.view(t, n)
+				}
+				return views[n]
+			})
+			qt.Assert(t, err, qt.ErrorMatches, test.want)
+		})
+	}
+}
+
+// deaf is a fault: it takes no version.
+type deaf struct{}
+
+// Version returns 0.
+func (deaf) Version() mwid.Version { return 0 }
