--- /dev/null
+++ b/mwlib/mwhttp/fuzz_test.go
@@ -0,0 +1,74 @@
+package mwhttp_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwhttp"
+)
+
+// FuzzPeerHeaders sends headers of the system to the peer listener. Whatever
+// they say, the answer is whole and, where it is a refusal, has a code and
+// the outcome that belongs to it.
+func FuzzPeerHeaders(f *testing.F) {
+	s := newStack(f, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {}))
+	f.Add("auftrag", "a1", "0", "1", "50", "1s", "k")
+	f.Add("", "", "-1", "x", "1000", "-1s", "")
+	f.Add("auftrag", "a1", "99", "1048577", "50", "1000000h", "k")
+	f.Fuzz(func(t *testing.T, service, attempt, depth, budget, importance, timeout, key string) {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		for name, v := range map[string]string{
+			mwhttp.HeaderService: service, mwhttp.HeaderAttempt: attempt, mwhttp.HeaderDepth: depth,
+			mwhttp.HeaderBudget: budget, mwhttp.HeaderImportance: importance,
+			mwhttp.HeaderTimeout: timeout, mwhttp.HeaderKey: key,
+		} {
+			r.Header.Set(name, v)
+		}
+		w := httptest.NewRecorder()
+		s.peer.Config.Handler.ServeHTTP(w, r)
+		checkAnswer(qt.New(t), w)
+	})
+}
+
+func checkAnswer(c *qt.C, w *httptest.ResponseRecorder) {
+	code := w.Header().Get(mwhttp.HeaderCode)
+	if code == "" {
+		c.Assert(w.Code, qt.Equals, http.StatusOK)
+		return
+	}
+	n, err := strconv.Atoi(code)
+	c.Assert(err, qt.IsNil)
+	c.Assert(w.Code >= http.StatusBadRequest, qt.IsTrue)
+	outcome := "OutcomeUnknown"
+	if n >= 1000 && n < 2000 {
+		outcome = "NotRun"
+	}
+	c.Assert(w.Header().Get(mwhttp.HeaderOutcome), qt.Equals, outcome)
+}
+
+// FuzzAnnouncement sends bodies to the announcement's path: each is taken, or
+// refused with a code.
+func FuzzAnnouncement(f *testing.F) {
+	front, _ := newNode(qt.New(f), newZone(f))
+	f.Add(`{"Service": "auftrag", "Address": "127.0.0.1:9001", "Slots": 90, "Connections": 660, "TTL": "3s"}`)
+	f.Add(`{"Service": "auftrag", "Slots": -1}`)
+	f.Add(`{"Unknown": 1}`)
+	f.Add(`[`)
+	local := front.Local()
+	f.Fuzz(func(t *testing.T, body string) {
+		c := qt.New(t)
+		r := httptest.NewRequest(http.MethodPut, mwhttp.AnnouncePath, strings.NewReader(body))
+		w := httptest.NewRecorder()
+		local.ServeHTTP(w, r)
+		if w.Code == http.StatusNoContent {
+			return
+		}
+		c.Assert(w.Code, qt.Equals, http.StatusBadRequest)
+		c.Assert(w.Body.String(), qt.Contains, `"Code":3`)
+	})
+}
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -163,12 +163,7 @@
 // newStack runs a stack whose backend server is backend.
 func newStack(t testing.TB, backend http.Handler) *stack {
 	c := qt.New(t)
-	docs, err := mwconfig.Decode("documents", strings.NewReader(documents))
-	c.Assert(err, qt.IsNil)
-	snap, err := mwconfig.Compile(1, docs)
-	c.Assert(err, qt.IsNil)
-	zone := mwid.ZoneName(t.Name())
-	nets.Store(zone, &net{snap: snap})
+	zone := newZone(t)
 	b := httptest.NewServer(backend)
 	t.Cleanup(b.Close)
 	s := &stack{}
@@ -185,6 +180,18 @@
 	return s
 }
 
+// newZone makes the net of one test.
+func newZone(t testing.TB) mwid.ZoneName {
+	c := qt.New(t)
+	docs, err := mwconfig.Decode("documents", strings.NewReader(documents))
+	c.Assert(err, qt.IsNil)
+	snap, err := mwconfig.Compile(1, docs)
+	c.Assert(err, qt.IsNil)
+	zone := mwid.ZoneName(t.Name())
+	nets.Store(zone, &net{snap: snap})
+	return zone
+}
+
 func serve(t testing.TB, h http.Handler) *httptest.Server {
 	s := httptest.NewServer(h)
 	t.Cleanup(s.Close)
