--- a/mwbackend/main.go
+++ b/mwbackend/main.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/jessevdk/go-flags"
 
@@ -32,7 +33,7 @@
 	log := slog.New(slog.NewJSONHandler(os.Stderr, nil))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s, end, err := mwfakeserver.New(f.Service, f.Node, f.options()...)
+	s, end, err := start(ctx, log, &f)
 	if err != nil {
 		log.Error("not started", "Error", err)
 		return exitFault
@@ -43,6 +44,28 @@
 	return drain(log, s, &f)
 }
 
+// startPeriod is the time between two tries to start.
+const startPeriod = 200 * time.Millisecond
+
+// start starts the backend server, again while its node does not listen yet:
+// the two processes of a VM start in any order.
+func start(ctx context.Context, log *slog.Logger, f *settings) (*mwfakeserver.Server, func(), error) {
+	t := time.NewTicker(startPeriod)
+	defer t.Stop()
+	for {
+		s, end, err := mwfakeserver.New(f.Service, f.Node, f.options()...)
+		if !errors.Is(err, syscall.ECONNREFUSED) {
+			return s, end, err
+		}
+		log.Info("waiting for the node", "Node", f.Node)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil, nil, err
+		}
+	}
+}
+
 // drain ends s once its calls are done.
 func drain(log *slog.Logger, s *mwfakeserver.Server, f *settings) int {
 	ctx, cancel := context.WithTimeout(context.Background(), f.Drain)
