mwmember: make views and news cheap

Cause: 512 nodes that started in one process did not find each other within 120 s; making views (38% of the processor) and sorting news kept them so busy that live nodes were taken for dead, and their refutations made more views. Change: members are shared and never change, views sort pointers, news is taken without sorting.

--- a/mwlib/mwmember/exchange.go
+++ b/mwlib/mwmember/exchange.go
@@ -133,7 +133,7 @@
 }
 
 // stampsOf returns the stamps of the nodes of ms in the buckets bs.
-func stampsOf(ms []member, bs []int) []Bucket {
+func stampsOf(ms []*member, bs []int) []Bucket {
 	var at [buckets]*Bucket
 	out := make([]Bucket, len(bs))
 	for i, b := range bs {
@@ -149,7 +149,7 @@
 }
 
 // wanted returns what ms knows of the nodes in wants.
-func wanted(ms []member, wants []uint32) (rs []Record, os []Opinion) {
+func wanted(ms []*member, wants []uint32) (rs []Record, os []Opinion) {
 	want := make(map[uint32]bool, len(wants))
 	for _, w := range wants {
 		want[w] = true
@@ -163,7 +163,7 @@
 }
 
 // tell appends what is known of m.
-func (m member) tell(rs []Record, os []Opinion) ([]Record, []Opinion) {
+func (m *member) tell(rs []Record, os []Opinion) ([]Record, []Opinion) {
 	if m.health != Dead {
 		rs = append(rs, m.Record)
 	}
@@ -223,7 +223,7 @@
 
 // answerBuckets returns what ms knows better than the stamps in bs, and what
 // the asking side may know better.
-func answerBuckets(ms []member, bs []Bucket) ExchangeReply {
+func answerBuckets(ms []*member, bs []Bucket) ExchangeReply {
 	asked := make(map[int]bool, len(bs))
 	theirs := make(map[uint32]Stamp)
 	for _, b := range bs {
--- a/mwlib/mwmember/gossip.go
+++ b/mwlib/mwmember/gossip.go
@@ -199,7 +199,7 @@
 	viewShare = 50
 	// maxViewGap is the greatest time between two views, where a node is
 	// short of time.
-	maxViewGap = 250 * time.Millisecond
+	maxViewGap = 500 * time.Millisecond
 )
 
 // buildViews makes a new view after changes.
--- a/mwlib/mwmember/message.go
+++ b/mwlib/mwmember/message.go
@@ -83,7 +83,7 @@
 type Stamp uint64
 
 // stampOf returns the Stamp of m.
-func stampOf(m member) Stamp {
+func stampOf(m *member) Stamp {
 	return Stamp(m.hash&^lowerHalf | m.stamp>>32)
 }
 
--- a/mwlib/mwmember/probe.go
+++ b/mwlib/mwmember/probe.go
@@ -88,7 +88,7 @@
 }
 
 // probeDirect pings m and returns which node answered.
-func (g *Gossip) probeDirect(ctx context.Context, m member, timeout time.Duration) (mwid.NodeID, error) {
+func (g *Gossip) probeDirect(ctx context.Context, m *member, timeout time.Duration) (mwid.NodeID, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	msg := g.message(newsLimit)
@@ -106,7 +106,7 @@
 
 // judge draws the conclusion from a probe of m at whose address found
 // answered; empty stands for silence.
-func (g *Gossip) judge(m member, found mwid.NodeID) {
+func (g *Gossip) judge(m *member, found mwid.NodeID) {
 	o := m.opinion()
 	switch found {
 	case m.Node:
--- a/mwlib/mwmember/queue.go
+++ b/mwlib/mwmember/queue.go
@@ -1,8 +1,6 @@
 package mwmember
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 
 	"mustardwheel.example/mwlib/mwunit"
@@ -14,14 +12,16 @@
 // queue holds news that is still to be passed on, at most one for each key:
 // later news of a key replaces earlier ones.
 type queue[K comparable, V news] struct {
-	mu sync.Mutex
-	m  map[K]*queued[V]
+	mu   sync.Mutex
+	m    map[K]*queued[V]
+	turn int // turn counts the calls of take.
 }
 
 // queued is news with the number of times that it is still to be sent.
 type queued[V news] struct {
 	v    V
 	left int
+	turn int // turn is when v was last taken.
 }
 
 // crowd is how much queued news makes a queue crowded.
@@ -83,31 +83,34 @@
 func (q *queue[K, V]) take(room *mwunit.Bytes) []V {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.m) == 0 {
-		return nil
-	}
+	q.turn++
 	var out []V
-	for _, k := range q.order() {
-		x := q.m[k]
-		size := x.v.bytes()
-		if size > *room {
-			break
-		}
-		*room -= size
-		out = append(out, x.v)
-		if x.left--; x.left <= 0 {
-			delete(q.m, k)
+	for left := q.most(); left > 0; left-- {
+		for k, x := range q.m {
+			if x.left != left || x.turn == q.turn {
+				continue
+			}
+			size := x.v.bytes()
+			if size > *room {
+				return out
+			}
+			*room -= size
+			out = append(out, x.v)
+			x.turn = q.turn
+			if x.left--; x.left <= 0 {
+				delete(q.m, k)
+			}
 		}
 	}
 	return out
 }
 
-// order returns the keys, those sent least first.
-func (q *queue[K, V]) order() []K {
-	ks := make([]K, 0, len(q.m))
-	for k := range q.m {
-		ks = append(ks, k)
+// most returns the greatest number of times that some news is still to be
+// sent.
+func (q *queue[K, V]) most() int {
+	n := 0
+	for _, x := range q.m {
+		n = max(n, x.left)
 	}
-	slices.SortFunc(ks, func(a, b K) int { return cmp.Compare(q.m[b].left, q.m[a].left) })
-	return ks
+	return n
 }
--- a/mwlib/mwmember/table.go
+++ b/mwlib/mwmember/table.go
@@ -7,7 +7,8 @@
 	"mustardwheel.example/mwlib/mwshard"
 )
 
-// member is what the table knows of one node.
+// member is what the table knows of one node. It never changes; a change puts
+// another one in its place, so that views can share it.
 type member struct {
 	Record
 	health  Health
@@ -18,43 +19,40 @@
 }
 
 // opinion returns the Opinion that the table has of m.
-func (m member) opinion() Opinion {
+func (m *member) opinion() Opinion {
 	return Opinion{Node: m.Node, Zone: m.Zone, Incarnation: m.Incarnation, Health: m.health}
 }
 
-// seal sets the hashes of m after a change.
-func (m *member) seal() {
+// sealed returns m with its hashes set.
+func (m member) sealed() *member {
 	m.hash = hash(m.Node)
 	m.stamp = stamp(m.Node, m.Incarnation, m.health)
+	return &m
 }
 
 // table holds all known nodes, sharded by node.
 type table struct {
-	m *mwshard.Map[mwid.NodeID, member]
+	m *mwshard.Map[mwid.NodeID, *member]
 }
 
 func newTable() *table {
-	return &table{m: mwshard.New[mwid.NodeID, member](mwshard.DefaultShards)}
+	return &table{m: mwshard.New[mwid.NodeID, *member](mwshard.DefaultShards)}
 }
 
 // record takes r where it is newer than what is known. It tells whether it
 // was, and whether the node was known.
 func (t *table) record(r Record, now time.Time) (taken, known bool) {
-	t.m.Update(r.Node, func(m member, ok bool) (member, bool) {
+	t.m.Update(r.Node, func(m *member, ok bool) (*member, bool) {
 		known = ok
 		if ok && r.Incarnation <= m.Incarnation {
 			return m, true
 		}
 		taken = true
-		if !ok || m.health == Dead {
-			m.since = now
+		x := member{Record: r, health: Alive, since: now, changed: now}
+		if ok && m.health != Dead {
+			x.since = m.since
 		}
-		if !ok || m.health != Alive {
-			m.changed = now
-		}
-		m.Record, m.health = r, Alive
-		m.seal()
-		return m, true
+		return x.sealed(), true
 	})
 	return taken, known
 }
@@ -64,28 +62,28 @@
 // record can't bring it back.
 func (t *table) opinion(o Opinion, now time.Time) bool {
 	taken := false
-	t.m.Update(o.Node, func(m member, ok bool) (member, bool) {
-		if !ok {
-			if o.Health != Dead {
-				return m, false
-			}
-			m.Record = Record{Node: o.Node, Zone: o.Zone, Incarnation: o.Incarnation}
+	t.m.Update(o.Node, func(m *member, ok bool) (*member, bool) {
+		x := member{Record: Record{Node: o.Node, Zone: o.Zone, Incarnation: o.Incarnation}}
+		if !ok && o.Health != Dead {
+			return nil, false
 		}
-		if ok && !o.overrides(m) {
-			return m, true
+		if ok {
+			if !o.overrides(m) {
+				return m, true
+			}
+			x = *m
 		}
 		taken = true
-		m.health, m.changed = o.Health, now
-		m.Incarnation = max(m.Incarnation, o.Incarnation)
-		m.seal()
-		return m, true
+		x.health, x.changed = o.Health, now
+		x.Incarnation = max(x.Incarnation, o.Incarnation)
+		return x.sealed(), true
 	})
 	return taken
 }
 
 // overrides tells whether o counts against m. A suspicion of an incarnation
 // that isn't known says nothing of the one that is.
-func (o Opinion) overrides(m member) bool {
+func (o Opinion) overrides(m *member) bool {
 	if o.Health <= m.health {
 		return false
 	}
@@ -96,12 +94,12 @@
 }
 
 // get returns what is known of n.
-func (t *table) get(n mwid.NodeID) (member, bool) { return t.m.Get(n) }
+func (t *table) get(n mwid.NodeID) (*member, bool) { return t.m.Get(n) }
 
 // all returns every member, dead ones included.
-func (t *table) all() []member {
-	var out []member
-	t.m.Range(func(_ mwid.NodeID, m member) bool {
+func (t *table) all() []*member {
+	out := make([]*member, 0, t.m.Len())
+	t.m.Range(func(_ mwid.NodeID, m *member) bool {
 		out = append(out, m)
 		return true
 	})
@@ -110,7 +108,7 @@
 
 // forget deletes the members that died before t0.
 func (t *table) forget(t0 time.Time) {
-	t.m.DeleteFunc(func(_ mwid.NodeID, m member) bool {
+	t.m.DeleteFunc(func(_ mwid.NodeID, m *member) bool {
 		return m.health == Dead && m.changed.Before(t0)
 	})
 }
--- a/mwlib/mwmember/view.go
+++ b/mwlib/mwmember/view.go
@@ -46,18 +46,18 @@
 }
 
 // bucket returns the bucket of m.
-func (m member) bucket() int { return int(m.hash % buckets) }
+func (m *member) bucket() int { return int(m.hash % buckets) }
 
 // newView returns the view of ms. away tells which zones can't be reached,
 // once their relays are known.
-func newView(ms []member, away func(v *view, z mwid.ZoneName) bool) *view {
-	slices.SortFunc(ms, func(a, b member) int { return cmp.Compare(a.hash, b.hash) })
+func newView(ms []*member, away func(v *view, z mwid.ZoneName) bool) *view {
+	slices.SortFunc(ms, func(a, b *member) int { return cmp.Compare(a.hash, b.hash) })
 	v := &view{
 		targets: make(map[mwid.ServiceName][]mwcall.Target),
 		zones:   make(map[mwid.ZoneName]*zoneView),
 	}
-	for i := range ms {
-		v.add(&ms[i])
+	for _, m := range ms {
+		v.add(m)
 	}
 	for _, z := range v.zones {
 		z.elect()
@@ -65,8 +65,8 @@
 	for _, z := range v.zones {
 		z.away = away(v, z.name)
 	}
-	for i := range ms {
-		v.addTargets(&ms[i])
+	for _, m := range ms {
+		v.addTargets(m)
 	}
 	v.names = slices.Sorted(maps.Keys(v.zones))
 	v.services = slices.Sorted(maps.Keys(v.targets))
