mwadmit: let calls that wait go before a newcomer under a raised ceiling

A call that came with a configuration that raises the ceiling of a retired interface started at once, though others of it waited. Now they go first.

--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -72,11 +72,16 @@
 		g.end(t)
 		return nil, code
 	}
-	if t.band.open() && g.slots.Free(t.lane) {
+	free := t.band.open() && g.slots.Free(t.lane)
+	if free && t.band.queues[t.lane].Len() == 0 {
 		g.start(t)
 		return t, mwcode.OK
 	}
-	return g.enqueue(t)
+	t, code := g.enqueue(t)
+	if free { // A new configuration raised the ceiling while others wait.
+		g.pump(now)
+	}
+	return t, code
 }
 
 // enqueue lets t wait, and sheds what is worst where the queue is full.
--- a/mwlib/mwadmit/refuse_test.go
+++ b/mwlib/mwadmit/refuse_test.go
@@ -108,6 +108,37 @@
 	})
 }
 
+func TestRaisedCeilingLetsThoseWhoWaitGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		a := makeAdmission(t, mwadmit.AdaptiveName, mwsetting.Admit{}, 4)
+		var started []mwid.RootID
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		send := func(r mwid.RootID, v mwid.Version, ceiling mwunit.Slots) {
+			call := newCall(browsing, r)
+			call.Class.Version, call.Class.Retired, call.Class.Ceiling = v, "retired", ceiling
+			wg.Go(func() {
+				release, err := a.Admit(t.Context(), call)
+				c.Check(err, qt.IsNil)
+				mu.Lock()
+				started = append(started, r)
+				mu.Unlock()
+				time.Sleep(time.Second)
+				release(mwcall.Sample{Took: time.Second, First: time.Second})
+			})
+			synctest.Wait()
+		}
+		send("first", 1, 1)
+		send("waits", 1, 1)
+		send("new", 2, 2)
+		send("old configuration", 1, 1)
+		c.Check(started, qt.DeepEquals, []mwid.RootID{"first", "waits"})
+		c.Check(a.Load(service).InFlight, qt.Equals, mwunit.Slots(2))
+		wg.Wait()
+	})
+}
+
 func TestThresholdIsReportedWhileOverloaded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/mwlib/mwclass/class_test.go
+++ b/mwlib/mwclass/class_test.go
@@ -79,3 +79,12 @@
 		h.Observe(call, mwcall.Sample{Took: time.Millisecond})
 	}
 }
+
+// BenchmarkNewHistory gives the memory of a History, which is all taken at
+// its start.
+func BenchmarkNewHistory(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		mwclass.NewHistory()
+	}
+}
