--- a/mwlib/mwroute/pick.go
+++ b/mwlib/mwroute/pick.go
@@ -113,10 +113,10 @@
 		return Load{}, gone
 	}
 	s, _ := p.r.states.Get(targetKey{t.Node, t.Service})
-	typical := p.v.typical(t.Region)
-	l := s.load(t.Slots, typical, p.now.Sub(p.r.epoch), p.now)
+	n := p.v.norm(t.Region, p.r.set.SlowFactor)
+	l := s.load(t.Slots, n.typical, p.now.Sub(p.r.epoch), p.now)
 	f := s.fitness(p.c, p.now)
-	slow := typical > 0 && isSlow(l.Latency, typical, p.r.set.SlowFactor)
+	slow := n.known() && l.Latency > n.tardy
 	if f == fit && (slow || s.onTrial()) {
 		f = tardy
 		p.tardy.offer(t, p.r.score.Of(l))
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -143,7 +143,7 @@
 	}
 	return func(h mwcall.Head, m mwcall.Sample) {
 		began, now := now, time.Now()
-		typical := r.typical(k.service, region)
+		n := r.norm(k.service, region)
 		r.states.Update(k, func(s state, ok bool) (state, bool) {
 			if !ok {
 				return s, false
@@ -151,7 +151,7 @@
 			s.finish(long, began.Sub(r.epoch))
 			s.end(h, m, began, now)
 			if h.Code == mwcode.OK || m.Cancelled {
-				s.judge(m, typical, r.set.SlowFactor, began, now)
+				s.judge(m, n, began, now)
 			}
 			s.used = now
 			return s, true
@@ -159,13 +159,12 @@
 	}
 }
 
-// typical returns the latency that targets of s in region have, or 0 where it
-// is not known.
-func (r *Router[S]) typical(s mwid.ServiceName, region mwid.RegionName) time.Duration {
+// norm returns what is ordinary for targets of s in region.
+func (r *Router[S]) norm(s mwid.ServiceName, region mwid.RegionName) norm {
 	if v, ok := r.views.Get(s); ok {
-		return v.typical(region)
+		return v.norm(region, r.set.SlowFactor)
 	}
-	return 0
+	return norm{}
 }
 
 // sweep forgets what was not used for idleFor.
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -20,10 +20,7 @@
 // state is what this node saw of one target.
 type state struct {
 	inFlight mwunit.Slots
-	// short and began are the calls in flight that are not long work, and the
-	// sum of the times since epoch at which they began.
-	short mwunit.Slots
-	began time.Duration
+	waiting  waiting
 	// latency is the peak-sensitive moving average of the time to the
 	// answer's head: it jumps up to a slower answer and decays to faster
 	// ones.
@@ -31,6 +28,8 @@
 	// mean is the plain moving average, by which slow targets are found: one
 	// straggler among many answers must not eject a target.
 	mean time.Duration
+	// spread is the moving average of how far answers are from mean.
+	spread time.Duration
 	// floor is about the least latency: the way there and the quickest work.
 	floor     time.Duration
 	samples   int
@@ -45,6 +44,8 @@
 	slowUntil time.Time
 	excess    time.Duration // excess is the mean latency for which it was last found slow.
 	strikes   int           // strikes counts how often the target was found slow.
+	// cuts counts the calls in a row that were cut off late.
+	cuts int
 	// trials are the good answers that it owes since, one call at a time.
 	trials int
 }
@@ -54,6 +55,8 @@
 	decay = 200 * time.Millisecond
 	// meanWeight is the weight of one answer in the plain average.
 	meanWeight = 0.3
+	// spreadWeight is that of one answer in the average of the spread.
+	spreadWeight = 0.05
 	// thresholdTTL is how long a learnt threshold holds.
 	thresholdTTL = time.Second
 	// busyFor is how long a target that refused a call without a threshold
@@ -125,22 +128,11 @@
 	return math.Exp(-float64(max(age, 0)) / float64(decay))
 }
 
-// age returns how long the calls in flight have waited for their answers, on
-// average. It is the first sign that a target is slow now: answer times tell
-// of it only when the slow answers are there.
-func (s *state) age(since time.Duration) time.Duration {
-	if s.short == 0 {
-		return 0
-	}
-	return since - s.began/time.Duration(s.short)
-}
-
 // begin notes a call that begins at since, the time since epoch.
 func (s *state) begin(long bool, since time.Duration) {
 	s.inFlight++
 	if !long {
-		s.short++
-		s.began += since
+		s.waiting.add(since)
 	}
 }
 
@@ -148,8 +140,7 @@
 func (s *state) finish(long bool, since time.Duration) {
 	s.inFlight--
 	if !long {
-		s.short--
-		s.began -= since
+		s.waiting.remove(since)
 	}
 }
 
@@ -157,7 +148,7 @@
 func (s *state) load(slots mwunit.Slots, typical, since time.Duration, now time.Time) Load {
 	return Load{
 		InFlight: s.inFlight, Slots: slots,
-		Latency: max(s.cost(typical, now), s.age(since)),
+		Latency: max(s.cost(typical, now), s.waiting.age(since)),
 	}
 }
 
@@ -211,6 +202,7 @@
 		s.mean = d
 	}
 	if !began.Before(s.slowUntil) {
+		s.spread += time.Duration(spreadWeight * float64((d-s.mean).Abs()-s.spread))
 		s.mean += time.Duration(meanWeight * float64(d-s.mean))
 	}
 	if s.floor == 0 || d < s.floor {
@@ -229,31 +221,21 @@
 // its record is clean.
 const forgive = 4
 
-// slowFloor is the latency below which nothing is slow.
-const slowFloor = 2 * time.Millisecond
-
-// isSlow tells whether a latency of d is out of the ordinary.
-func isSlow(d, typical time.Duration, factor mwunit.Ratio) bool {
-	return d > slowFloor && float64(d) > float64(typical)*float64(factor)
-}
-
-// judge finds out whether the target is slow against typical, the latency
-// that its service has at that distance, from a call m that began at
+// judge finds out whether the target is slow, from a call m that began at
 // began. A slow one is left out for a while, and then has to show by a few
 // calls, one at a time, that it is well; calls of before count for nothing.
-func (s *state) judge(m mwcall.Sample, typical time.Duration, factor mwunit.Ratio, began, now time.Time) {
-	slow := isSlow(m.First, typical, factor)
-	if s.samples < minSamples || typical == 0 || began.Before(s.slowUntil) {
+func (s *state) judge(m mwcall.Sample, n norm, began, now time.Time) {
+	if s.samples < minSamples || !n.known() || began.Before(s.slowUntil) {
 		return
 	}
-	if m.Code != mwcode.OK && !slow {
+	if m.Code != mwcode.OK && m.First <= n.tardy {
 		return // A caller that left early says nothing.
 	}
-	if isSlow(s.mean, typical, factor) || s.trials > 0 && slow {
+	if s.foundSlow(m, n) {
 		s.strikes++
 		s.slowUntil = now.Add(backoff(s.strikes, slowFirst, slowMax))
-		s.excess, s.mean = max(m.First, s.mean), typical
-		s.trials = trials
+		s.excess, s.mean = max(m.First, s.mean), n.typical
+		s.trials, s.cuts = trials, 0
 		return
 	}
 	s.trials = max(s.trials-1, 0)
@@ -262,6 +244,26 @@
 	}
 }
 
+// foundSlow tells whether m shows the target to be slow. A call that was cut
+// off, as the loser of a hedge is, would have taken longer: a few in a row
+// are as good as a slow answer.
+func (s *state) foundSlow(m mwcall.Sample, n norm) bool {
+	cut := m.Code != mwcode.OK
+	if cut {
+		s.cuts++
+	} else {
+		s.cuts = 0
+	}
+	if s.trials > 0 {
+		return cut || m.First > n.slow
+	}
+	return s.mean > n.slow || s.cuts >= maxCuts
+}
+
+// maxCuts is how many calls in a row that were cut off late show that a
+// target is slow.
+const maxCuts = 2
+
 // trials is how many good answers a target owes that was slow.
 const trials = 3
 
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -49,6 +49,7 @@
 	tiers   []tier
 	last    []mwcall.Target                   // last is what is used where nothing better is left.
 	median  time.Duration                     // median is the median latency in this region's terms.
+	spread  time.Duration                     // spread is the median of how far answers are from their mean.
 	away    map[mwid.RegionName]time.Duration // away is how much longer the way to a region is.
 	oldest  time.Time                         // oldest is since when the target is known that was known first.
 	ejected int
@@ -84,7 +85,8 @@
 		}
 	}
 	v.away = away(here, all)
-	v.median = median(all, v.away)
+	v.median = medianOf(all, func(s seen) time.Duration { return s.mean - v.away[s.Region] })
+	v.spread = medianOf(all, func(s seen) time.Duration { return s.spread })
 	v.ejected = eject(all, most, now)
 	v.place(here, all)
 	return v
@@ -103,7 +105,7 @@
 		}
 	}
 	for k, ss := range members {
-		t := tier{tierKey: k, cost: median(ss, nil)}
+		t := tier{tierKey: k, cost: medianOf(ss, func(s seen) time.Duration { return s.mean })}
 		for _, s := range ss {
 			t.targets = append(t.targets, s.Target)
 		}
@@ -159,13 +161,13 @@
 // minSamples is how many answers of a target count as knowing its latency.
 const minSamples = 5
 
-// median returns the median of the mean latencies that are known, each less
-// what away says of its region, or 0.
-func median(all []seen, away map[mwid.RegionName]time.Duration) time.Duration {
+// medianOf returns the median of what of says of the targets whose latency is
+// known, or 0.
+func medianOf(all []seen, of func(seen) time.Duration) time.Duration {
 	ds := make([]time.Duration, 0, len(all))
 	for _, s := range all {
 		if s.samples >= minSamples {
-			ds = append(ds, s.mean-away[s.Region])
+			ds = append(ds, of(s))
 		}
 	}
 	if len(ds) == 0 {
@@ -191,12 +193,16 @@
 	return floors
 }
 
-// typical returns the latency that targets in r have.
-func (v *view) typical(r mwid.RegionName) time.Duration {
+// norm returns what is ordinary for targets in r; a target is slow above
+// factor times what is typical.
+func (v *view) norm(r mwid.RegionName, factor mwunit.Ratio) norm {
 	if v.median == 0 {
-		return 0
+		return norm{}
 	}
-	return v.median + v.away[r]
+	typical := v.median + v.away[r]
+	slow := max(time.Duration(float64(factor)*float64(typical)), slowFloor)
+	tardy := max(typical+tardySpreads*v.spread, time.Duration(tardyFactor*float64(typical)), slowFloor)
+	return norm{typical: typical, tardy: min(tardy, slow), slow: slow}
 }
 
 // eject marks targets that are slow or can't be reached, the worst first, up
