mwroute: learn the way to a region by medians, and judge calls that are cut off

The way to a region was judged by the least latency seen there, and one quick cut-off call made all other regions look 50 ms farther and what is typical negative; the medians of the regions are compared now.

--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -29,9 +29,7 @@
 	// straggler among many answers must not eject a target.
 	mean time.Duration
 	// spread is the moving average of how far answers are from mean.
-	spread time.Duration
-	// floor is about the least latency: the way there and the quickest work.
-	floor     time.Duration
+	spread    time.Duration
 	samples   int
 	seen      time.Time // seen is when latency was learnt last.
 	used      time.Time
@@ -178,7 +176,7 @@
 // endCancelled learns from an attempt that was cut off: it took at least as
 // long as was seen.
 func (s *state) endCancelled(m mwcall.Sample, began, now time.Time) {
-	if m.First > s.cost(0, now) {
+	if s.samples > 0 && m.First > s.cost(0, now) {
 		s.learnLatency(m.First, began, now)
 	}
 }
@@ -205,17 +203,10 @@
 		s.spread += time.Duration(spreadWeight * float64((d-s.mean).Abs()-s.spread))
 		s.mean += time.Duration(meanWeight * float64(d-s.mean))
 	}
-	if s.floor == 0 || d < s.floor {
-		s.floor = d
-	}
-	s.floor += (d - s.floor) / floorDivisor
 	s.samples++
 	s.seen = now
 }
 
-// floorDivisor makes the floor follow a way that got longer, slowly.
-const floorDivisor = 512
-
 // forgive is how many of its slow answer times a target must be in use
 // without being found slow again, on top of the time it was left out, until
 // its record is clean.
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -105,7 +105,7 @@
 		}
 	}
 	for k, ss := range members {
-		t := tier{tierKey: k, cost: medianOf(ss, func(s seen) time.Duration { return s.mean })}
+		t := tier{tierKey: k, cost: medianOf(ss, meanOf)}
 		for _, s := range ss {
 			t.targets = append(t.targets, s.Target)
 		}
@@ -177,22 +177,26 @@
 	return ds[(len(ds)-1)/2]
 }
 
-// away returns how much longer the way to each other region is, judged by the
-// least latencies. Without it, all targets of other regions would look slow.
+// away returns how much longer the way to each other region is: by how much
+// the median there is above the one here. Without it, all targets of other
+// regions would look slow.
 func away(here mwcall.Target, all []seen) map[mwid.RegionName]time.Duration {
-	floors := make(map[mwid.RegionName]time.Duration)
+	byRegion := make(map[mwid.RegionName][]seen)
 	for _, s := range all {
-		if f, ok := floors[s.Region]; s.samples >= minSamples && (!ok || s.floor < f) {
-			floors[s.Region] = s.floor
-		}
+		byRegion[s.Region] = append(byRegion[s.Region], s)
 	}
-	least := floors[here.Region]
-	for r, f := range floors {
-		floors[r] = max(f-least, 0)
+	least := medianOf(byRegion[here.Region], meanOf)
+	ways := make(map[mwid.RegionName]time.Duration)
+	for r, ss := range byRegion {
+		if d := medianOf(ss, meanOf); r != here.Region && least > 0 && d > least {
+			ways[r] = d - least
+		}
 	}
-	return floors
+	return ways
 }
 
+func meanOf(s seen) time.Duration { return s.mean }
+
 // norm returns what is ordinary for targets in r; a target is slow above
 // factor times what is typical.
 func (v *view) norm(r mwid.RegionName, factor mwunit.Ratio) norm {
