--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -28,6 +28,8 @@
 	// mean is the plain moving average, by which slow targets are found: one
 	// straggler among many answers must not eject a target.
 	mean time.Duration
+	// level is the slow moving average, by which what is typical is found.
+	level time.Duration
 	// spread is the moving average of how far answers are from mean.
 	spread    time.Duration
 	samples   int
@@ -53,8 +55,8 @@
 	decay = 200 * time.Millisecond
 	// meanWeight is the weight of one answer in the plain average.
 	meanWeight = 0.3
-	// spreadWeight is that of one answer in the average of the spread.
-	spreadWeight = 0.05
+	// slowWeight is that of one answer in the slow averages.
+	slowWeight = 0.05
 	// thresholdTTL is how long a learnt threshold holds.
 	thresholdTTL = time.Second
 	// busyFor is how long a target that refused a call without a threshold
@@ -197,10 +199,11 @@
 func (s *state) learnLatency(d time.Duration, began, now time.Time) {
 	s.latency = max(s.average(d, now), d)
 	if s.samples == 0 {
-		s.mean = d
+		s.mean, s.level = d, d
 	}
 	if !began.Before(s.slowUntil) {
-		s.spread += time.Duration(spreadWeight * float64((d-s.mean).Abs()-s.spread))
+		s.spread += time.Duration(slowWeight * float64((d-s.level).Abs()-s.spread))
+		s.level += time.Duration(slowWeight * float64(d-s.level))
 		s.mean += time.Duration(meanWeight * float64(d-s.mean))
 	}
 	s.samples++
--- a/mwlib/mwroute/view.go
+++ b/mwlib/mwroute/view.go
@@ -85,7 +85,7 @@
 		}
 	}
 	v.away = away(here, all)
-	v.median = medianOf(all, func(s seen) time.Duration { return s.mean - v.away[s.Region] })
+	v.median = medianOf(all, func(s seen) time.Duration { return s.level - v.away[s.Region] })
 	v.spread = medianOf(all, func(s seen) time.Duration { return s.spread })
 	v.ejected = eject(all, most, now)
 	v.place(here, all)
@@ -105,7 +105,7 @@
 		}
 	}
 	for k, ss := range members {
-		t := tier{tierKey: k, cost: medianOf(ss, meanOf)}
+		t := tier{tierKey: k, cost: medianOf(ss, levelOf)}
 		for _, s := range ss {
 			t.targets = append(t.targets, s.Target)
 		}
@@ -185,17 +185,17 @@
 	for _, s := range all {
 		byRegion[s.Region] = append(byRegion[s.Region], s)
 	}
-	least := medianOf(byRegion[here.Region], meanOf)
+	least := medianOf(byRegion[here.Region], levelOf)
 	ways := make(map[mwid.RegionName]time.Duration)
 	for r, ss := range byRegion {
-		if d := medianOf(ss, meanOf); r != here.Region && least > 0 && d > least {
+		if d := medianOf(ss, levelOf); r != here.Region && least > 0 && d > least {
 			ways[r] = d - least
 		}
 	}
 	return ways
 }
 
-func meanOf(s seen) time.Duration { return s.mean }
+func levelOf(s seen) time.Duration { return s.level }
 
 // norm returns what is ordinary for targets in r; a target is slow above
 // factor times what is typical.
