mwhttp: take empty bodies as they are

Cause: net/http's Transport looks into the empty reader of each GET with a goroutine and a timer. Ruled out: leaving the reader away, since the Transport then sends a GET again by itself when a reused connection breaks (TestTransportDoesNotReplay).

--- a/mwlib/mwhttp/body.go
+++ b/mwlib/mwhttp/body.go
@@ -61,8 +61,11 @@
 		out.Body = io.NopCloser(bytes.NewReader(b.whole))
 		out.ContentLength = int64(len(b.whole))
 	case b.held && lacksBody(out.Method):
-		out.Body = io.NopCloser(empty{})
+		// With this encoding the Transport takes the reader as it is; else it
+		// would start a goroutine to find out whether it is empty.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
 		out.ContentLength = 0
+		out.TransferEncoding = []string{"identity"}
 	case b.held:
 		out.Body = http.NoBody
 		out.ContentLength = 0
@@ -85,12 +88,6 @@
 	return false
 }
 
-// empty is a reader at its end.
-type empty struct{}
-
-// Read returns io.EOF.
-func (empty) Read([]byte) (int, error) { return 0, io.EOF }
-
 // watched is a body that notes that it was read from. Closing it leaves the
 // request's own body open, which net/http's server closes.
 type watched struct{ b *body }
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -51,7 +51,7 @@
 
 	backends *backends
 	accounts *accounts
-	life     life
+	life     *life
 }
 
 // options are the settings of New that are not a node's settings.
@@ -92,7 +92,7 @@
 		place: mwcall.Target{
 			Node: env.Node, Peer: set.Listen.Peer, Zone: set.Place.Zone, Region: set.Place.Region,
 		},
-		accounts: newAccounts(),
+		accounts: newAccounts(), life: newLife(),
 	}
 	var ends ends
 	if err := k.makePlugins(env, &ends); err != nil {
