--- a/mwlib/mwclaim/ledger_test.go
+++ b/mwlib/mwclaim/ledger_test.go
@@ -196,37 +196,121 @@
 }
 
 func TestLostAnswers(t *testing.T) {
+	notRun := func(w world, cl claimant) error { return cl.NotRun(ctx(w)) }
+	small := func(w world, cl claimant) error { return cl.Finish(ctx(w), mwcall.Kept("small")) }
+	large := func(w world, cl claimant) error {
+		_ = cl.Finish(ctx(w), make(mwcall.Kept, 1<<20)) // It is written later.
+		return nil
+	}
 	tests := []struct {
-		name string
-		kind mwfakestore.Kind
-		last func(w world, cl claimant) error
-		want mwcode.Code
+		name   string
+		kind   mwfakestore.Kind
+		times  int
+		faults mwfakestore.Faults
+		last   func(w world, cl claimant) error
 	}{
-		{"of not run", mwfakestore.Commit, func(w world, cl claimant) error { return cl.NotRun(ctx(w)) }, mwcode.OK},
-		{"of a kept answer", mwfakestore.Commit, func(w world, cl claimant) error {
-			return cl.Finish(ctx(w), mwcall.Kept("small"))
-		}, mwcode.OK},
-		{"of an object", mwfakestore.Put, func(w world, cl claimant) error {
-			_ = cl.Finish(ctx(w), make(mwcall.Kept, 1<<20)) // It is written later.
-			return nil
-		}, mwcode.OK},
+		{"of not run", mwfakestore.Commit, 1, mwfakestore.Faults{}, notRun},
+		{"of a kept answer", mwfakestore.Commit, 1, mwfakestore.Faults{}, small},
+		{"of an object", mwfakestore.Put, 1, mwfakestore.Faults{}, large},
+		{"of a reference to an object", mwfakestore.Commit, 1, mwfakestore.Faults{}, large},
+		{"of not run, twice", mwfakestore.Commit, 2, mwfakestore.Faults{}, notRun},
+		{"of a kept answer, twice", mwfakestore.Commit, 2, mwfakestore.Faults{}, small},
+		{"of an object, twice", mwfakestore.Put, 2, mwfakestore.Faults{}, large},
+		{"of not run while the store is slow", mwfakestore.Commit, 1, mwfakestore.Faults{Delay: time.Second}, notRun},
+		{"of a kept answer with stale reads", mwfakestore.Commit, 1, mwfakestore.Faults{Stale: 0.5}, small},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			inWorld(t, func(w world) {
-				w.store.Lose(mwfakestore.Commit, 1)
+				w.store.Lose(mwfakestore.Commit, test.times) // Of the claim.
 				cl, err := w.a.Claim(ctx(w), order("k", true))
 				w.Assert(err, qt.IsNil)
 				w.Assert(cl.Begin(), qt.IsNil)
-				w.store.Lose(test.kind, 1)
+				w.store.SetFaults(test.faults)
+				w.store.Lose(test.kind, test.times)
 				w.Assert(test.last(w, cl), qt.IsNil)
 				time.Sleep(time.Minute)
-				w.Assert(w.code(w.b, order("k", false)), qt.Equals, test.want)
+				w.store.SetFaults(mwfakestore.Faults{})
+				w.store.Lose(mwfakestore.Commit, test.times) // Of a claim over a row that is not run.
+				again, err := w.b.Claim(ctx(w), order("k", false))
+				w.Assert(err, qt.IsNil)
+				_, kept := again.Kept()
+				w.Assert(kept || again.Begin() == nil, qt.IsTrue)
 			})
 		})
 	}
 }
 
+// What a claimant that ended with its node had claimed is never run again.
+func TestResubmissionAfterARestart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, end := mwfakestore.New()
+		defer end()
+		claimOn := func(k mwid.CallKey, first bool, keep bool) mwcode.Code {
+			l, end, err := mwclaim.New(s)
+			c.Assert(err, qt.IsNil)
+			defer end()
+			cl, err := l.Claim(context.Background(), order(k, first))
+			if err == nil && keep {
+				c.Check(cl.Begin(), qt.IsNil)
+				c.Check(cl.Finish(context.Background(), mwcall.Kept("answer")), qt.IsNil)
+			}
+			return mwcode.Of(err)
+		}
+		c.Assert(claimOn("lost", true, false), qt.Equals, mwcode.OK)
+		c.Assert(claimOn("lost", false, false), qt.Equals, mwcode.Held)
+		c.Assert(claimOn("kept", true, true), qt.Equals, mwcode.OK)
+		c.Assert(claimOn("kept", false, false), qt.Equals, mwcode.OK)
+	})
+}
+
+// What can't be written while the table is away is written when it is back.
+func TestDebtsArePaid(t *testing.T) {
+	inWorld(t, func(w world) {
+		ran, err := w.a.Claim(ctx(w), order("ran", true))
+		w.Assert(err, qt.IsNil)
+		refused, err := w.a.Claim(ctx(w), order("refused", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(ran.Begin(), qt.IsNil)
+		w.store.SetFaults(mwfakestore.Faults{Away: true})
+		w.Assert(ran.Finish(ctx(w), mwcall.Kept("answer")), qt.IsNotNil)
+		w.Assert(refused.NotRun(ctx(w)), qt.IsNotNil)
+		time.Sleep(time.Hour)
+		w.store.SetFaults(mwfakestore.Faults{})
+		time.Sleep(time.Minute)
+		for _, k := range []mwid.CallKey{"ran", "refused"} {
+			w.Assert(w.code(w.b, order(k, false)), qt.Equals, mwcode.OK)
+		}
+	})
+}
+
+// A store that is too busy for a while must cost waiting, and no refusals.
+func TestBusyStore(t *testing.T) {
+	inWorld(t, func(w world) {
+		w.store.SetFaults(mwfakestore.Faults{Slow: true})
+		code := make(chan mwcode.Code)
+		go func() { code <- w.code(w.a, order("k", true)) }()
+		time.Sleep(5 * time.Second)
+		w.store.SetFaults(mwfakestore.Faults{})
+		w.Assert(<-code, qt.Equals, mwcode.OK)
+	})
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	f.Add([]byte(`{"Claimant":"c","State":"Done","Answer":"YQ=="}`))
+	f.Add([]byte(`{"State":"Other"}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r, err := mwclaim.DecodeRecord(b)
+		if err != nil && mwcode.Of(err) != mwcode.BadDocument {
+			t.Fatalf("%v", err)
+		}
+		if err == nil && r.State == "" {
+			t.Fatal("a record without a state")
+		}
+	})
+}
+
 // claimant is what a test needs of a claim.
 type claimant interface {
 	Begin() error
