--- a/mwlib/mwstoreclient/client.go
+++ b/mwlib/mwstoreclient/client.go
@@ -172,6 +172,11 @@
 	return c == mwcode.StoreSlow || c == mwcode.StoreAway && !o.isWrite()
 }
 
+// leastTimeParts is the part of the timeout, one of leastTimeParts, that must
+// be left for a request to be sent: one that is cut short has no known
+// outcome.
+const leastTimeParts = 20
+
 // attempt makes one request when its turn has come.
 func attempt[T any](
 	ctx context.Context, c *Client, p *pacer, o op, f func(context.Context) (T, error),
@@ -184,6 +189,10 @@
 		c.breaker.abandon()
 		return zero, err
 	}
+	if d, ok := ctx.Deadline(); ok && time.Until(d) < c.timeout/leastTimeParts {
+		c.breaker.abandon()
+		return zero, mwcode.New(mwcode.StoreSlow, mwcode.Expected("time for an answer"))
+	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	v, err := f(ctx)
--- a/mwlib/mwstoreclient/pacer.go
+++ b/mwlib/mwstoreclient/pacer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,11 +14,12 @@
 
 // pacer lets requests pass at a rate that it adapts, the most urgent first.
 //
-// A refusal by the store lowers the rate by a factor, once a period; each
-// period without one in which requests had to wait raises it by a factor and
-// a little more. Both factors are the same at every node, so the sum over all
-// nodes falls and rises by them too, however many there are. The small
-// constant lets a node that was lowered most catch up.
+// A refusal by the store lowers the rate by a factor, at most once a period;
+// each longer period in which requests had to wait raises it by a factor and a
+// little more. Both factors are the same at every node, so the sum over all
+// nodes falls and rises by them too, however many there are. A node that asks
+// more is refused more often, so rates come closer to each other; the constant
+// lets a node that was lowered most catch up.
 type pacer struct {
 	most mwunit.PerSecond
 	wake chan struct{}
@@ -39,7 +41,9 @@
 	raiseFactor                       = 1.05
 	raiseConstant    mwunit.PerSecond = 0.02
 	leastRate        mwunit.PerSecond = 0.05
-	adaptPeriod                       = time.Second
+	mostRaises                        = 20.0
+	raisePeriod                       = time.Second
+	lowerPeriod                       = 500 * time.Millisecond
 	burstTime                         = 200 * time.Millisecond
 	leastBurst                        = 2.0
 	lowerJitterParts                  = 0.2
@@ -177,14 +181,22 @@
 		p.lower(now)
 		return
 	}
-	if p.waited && now.Sub(p.raised) >= adaptPeriod && now.Sub(p.lowered) >= adaptPeriod {
-		p.rate = min(p.most, p.rate*raiseFactor+raiseConstant)
+	if n := now.Sub(p.raised) / raisePeriod; p.waited && n > 0 {
+		p.raise(float64(n))
 		p.raised, p.waited = now, false
 	}
 }
 
+// raise raises the rate for n periods: a slow node hears from the store less
+// often than once a period, and must not fall behind for that.
+func (p *pacer) raise(n float64) {
+	n = min(n, mostRaises)
+	f := mwunit.PerSecond(math.Pow(raiseFactor, n))
+	p.rate = min(p.most, p.rate*f+mwunit.PerSecond(n)*raiseConstant)
+}
+
 func (p *pacer) lower(now time.Time) {
-	if now.Sub(p.lowered) < adaptPeriod {
+	if now.Sub(p.lowered) < lowerPeriod {
 		return
 	}
 	f := lowerFactor * (1 + lowerJitterParts*(rand.Float64()-0.5))
