--- /dev/null
+++ b/mwlib/mwclaim/rpc_test.go
@@ -0,0 +1,56 @@
+package mwclaim_test
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwrpc"
+)
+
+// Rows must reach their writer through the codec that nodes use, which is
+// not part of virtual time.
+func TestGroupOverRPC(t *testing.T) {
+	c := qt.New(t)
+	s, end := mwfakestore.New()
+	c.Cleanup(end)
+	var addrs []mwid.Address
+	var peers []*mwrpc.Peers
+	for range 2 {
+		p, endPeers := mwrpc.New()
+		c.Cleanup(endPeers)
+		srv := httptest.NewServer(p)
+		c.Cleanup(srv.Close)
+		peers = append(peers, p)
+		addrs = append(addrs, mwid.Address(strings.TrimPrefix(srv.URL, "http://")))
+	}
+	set := metrics.NewSet()
+	var ledgers []*mwclaim.Ledger
+	for i, p := range peers {
+		other := []mwid.Address{addrs[1-i]}
+		l, endLedger, err := mwclaim.New(s, mwclaim.WithMetrics(set),
+			mwclaim.WithGroup(p, addrs[i], func() []mwid.Address { return other }, 1))
+		c.Assert(err, qt.IsNil)
+		c.Cleanup(endLedger)
+		ledgers = append(ledgers, l)
+	}
+	for i, l := range ledgers {
+		k := mwid.CallKey(rune('a' + i))
+		cl, err := l.Claim(c.Context(), order(k, true))
+		c.Assert(err, qt.IsNil)
+		c.Assert(cl.Begin(), qt.IsNil)
+		_, err = ledgers[1-i].Claim(c.Context(), order(k, false))
+		c.Assert(mwcode.Of(err), qt.Equals, mwcode.Held)
+		c.Assert(cl.Finish(c.Context(), mwcall.Kept("answer")), qt.IsNil)
+	}
+	c.Assert(set.GetOrCreateCounter("mw_claim_grouped_total").Get(), qt.Equals, uint64(2))
+	c.Assert(set.GetOrCreateCounter("mw_claim_writer_silent_total").Get(), qt.Equals, uint64(0))
+}
