--- /dev/null
+++ b/mwlib/mwhttp/silent_test.go
@@ -0,0 +1,136 @@
+package mwhttp_test
+
+import (
+	"io"
+	gonet "net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwhttp"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// wire passes bytes between its listener and a server. What connects before
+// silence can be made silent for good; what connects after works.
+type wire struct {
+	ln gonet.Listener
+	to string
+
+	mu     sync.Mutex
+	silent map[gonet.Conn]chan struct{}
+}
+
+func newWire(c *qt.C, to string) *wire {
+	ln, err := gonet.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	w := &wire{ln: ln, to: to, silent: make(map[gonet.Conn]chan struct{})}
+	c.Cleanup(func() { ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go w.carry(conn)
+		}
+	}()
+	return w
+}
+
+func (w *wire) carry(in gonet.Conn) {
+	out, err := gonet.Dial("tcp", w.to)
+	if err != nil {
+		in.Close()
+		return
+	}
+	quiet := make(chan struct{})
+	w.mu.Lock()
+	w.silent[in] = quiet
+	w.mu.Unlock()
+	go pass(out, in, quiet)
+	pass(in, out, quiet)
+}
+
+// pass copies from src to dst; once quiet is closed it swallows all, also the
+// end.
+func pass(dst, src gonet.Conn, quiet chan struct{}) {
+	buf := make([]byte, 4096)
+	for {
+		n, err := src.Read(buf)
+		select {
+		case <-quiet:
+			if err != nil {
+				return
+			}
+			continue
+		default:
+		}
+		if n > 0 {
+			dst.Write(buf[:n])
+		}
+		if err != nil {
+			dst.Close()
+			return
+		}
+	}
+}
+
+// silence makes all present connections silent and returns their number.
+func (w *wire) silence() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := len(w.silent)
+	for c, quiet := range w.silent {
+		close(quiet)
+		delete(w.silent, c)
+	}
+	return n
+}
+
+// Of many idle connections that went silent, at most one call suffers: the
+// others are dropped, and the next call gets a new one.
+func TestSilentConnectionsAreDroppedTogether(t *testing.T) {
+	c := qt.New(t)
+	const calls = 4
+	var together sync.WaitGroup
+	together.Add(calls)
+	backend := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/together" {
+			together.Done()
+			together.Wait()
+		}
+		io.WriteString(w, "ok")
+	})
+	s := newStack(t, http.NotFoundHandler())
+	b := httptest.NewServer(backend)
+	c.Cleanup(b.Close)
+	w := newWire(c, b.Listener.Addr().String())
+	c.Assert(s.target.Announce(mwcall.Announcement{
+		Service: service, Address: mwid.Address(w.ln.Addr().String()),
+		Slots: 2 * calls, Connections: 2 * calls, TTL: mwkernel.MaxTTL,
+	}), qt.IsNil)
+
+	var wg sync.WaitGroup
+	for range calls {
+		wg.Go(func() { do(c, s.request(c, "POST", "/together", nil)) })
+	}
+	wg.Wait()
+	c.Assert(w.silence() >= calls, qt.IsTrue)
+
+	r := s.request(c, "POST", "/", nil)
+	r.Header.Set(mwhttp.HeaderTimeout, "300ms")
+	resp, _ := do(c, r)
+	c.Assert(code(resp), qt.Equals, want(mwcode.Silent))
+	for range calls {
+		resp, body := do(c, s.request(c, "POST", "/", nil))
+		c.Assert(code(resp), qt.Equals, "")
+		c.Assert(body, qt.Equals, "ok")
+	}
+}
