--- a/mwlib/mwconfig/decode.go
+++ b/mwlib/mwconfig/decode.go
@@ -106,7 +106,7 @@
 	if name, ok := strings.CutPrefix(err.Error(), unknownFieldText); ok {
 		return mwcode.New(mwcode.UnknownField, mwcode.File(file),
 			mwcode.Field(strings.Trim(field+"."+strings.Trim(name, `"`), ".")),
-			mwcode.Expected("a field that docs/SETTINGS.md names"))
+			mwcode.Expected("a field that docs/CONFIGURATION.md names"))
 	}
 	var te *json.UnmarshalTypeError
 	if errors.As(err, &te) {
