--- a/mwlib/mwretry/latency.go
+++ b/mwlib/mwretry/latency.go
@@ -11,7 +11,8 @@
 )
 
 // latencies estimates the 95th percentile of each service's answer times by a
-// step up for each slower answer and a smaller step down for each faster one.
+// step up for each slower answer and a smaller step down for each faster one,
+// from the slowest of the first few answers on.
 // It needs two numbers a service, no histogram.
 type latencies struct {
 	m *mwshard.Cache[mwid.ServiceName, quantile]
@@ -25,7 +26,7 @@
 const (
 	quantileOf    = 0.95
 	quantileStep  = 0.1 // quantileStep is the sum of a step up and one down, as a part of the estimate.
-	minSamples    = 50
+	minSamples    = 20  // minSamples is as many as have one above the percentile on average.
 	minHedgeDelay = time.Millisecond
 	services      = 2048 // services is about how many services are kept in mind.
 )
@@ -61,8 +62,8 @@
 
 func (q *quantile) add(v float64) {
 	q.seen = min(q.seen+1, math.MaxInt32)
-	if q.seen == 1 {
-		q.value = v
+	if q.seen <= minSamples {
+		q.value = max(q.value, v)
 		return
 	}
 	if v > q.value {
