mwadmit: keep queues of narrow services short

Cause: a queue took 16 calls at the least. At 2 slots of 40 ms that is a wait of 320 ms, and each call that waits holds a slot in each service above. Change: 4 calls at the least, and 16 for a retired interface as before.

--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -36,8 +36,13 @@
 	retired   map[mwconfig.DocumentName]*band
 }
 
-// queueLeast is the least capacity of a queue.
-const queueLeast mwunit.Slots = 16
+// Least capacities of queues.
+const (
+	plainLeast mwunit.Slots = 4
+	// retiredLeast is for a retired interface: its few slots would else lose
+	// calls to each burst.
+	retiredLeast mwunit.Slots = 16
+)
 
 func newGate[P mwlimit.Policy](cfg *config, stat *gateStats, p P, a mwcall.Announcement) *gate[P] {
 	l := mwlimit.New(p, a.Slots, a.Connections)
@@ -181,8 +186,11 @@
 	if each <= 0 {
 		return g.cfg.queue
 	}
-	n := mwunit.Slots(g.cfg.wait / each)
-	return min(max(n, queueLeast), g.cfg.queue)
+	n, least := mwunit.Slots(g.cfg.wait/each), plainLeast
+	if b != g.plain {
+		least = retiredLeast
+	}
+	return min(max(n, least), g.cfg.queue)
 }
 
 // start lets t run.
