mwbench: add the scenario control

What control costs a node is measured at 39 to 312 nodes over 13 zones and taken on to 4,100. Cause: there was no figure. Before: none.

--- /dev/null
+++ b/mwbench/internal/mwexperiment/control.go
@@ -0,0 +1,97 @@
+package mwexperiment
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"mustardwheel.example/mwbench/internal/mwfigure"
+	"mustardwheel.example/mwbench/internal/mwscenario"
+	"mustardwheel.example/mwlib/mwslope"
+)
+
+func init() { mwscenario.Register("control", runControl) }
+
+// The size to design for, and what control may cost each node of it.
+const (
+	designNodes                  = 4100
+	designZones                  = 13
+	coreTarget                   = 4.7
+	memoryTarget                 = 128
+	bytesTarget                  = 5
+	bytesPerMB                   = 1 << 20
+	bytesPerKB                   = 1 << 10
+	controlMeasure               = 8 * time.Second
+	megabytes      mwfigure.Unit = "MB"
+	kilobytes      mwfigure.Unit = "KB/s"
+)
+
+// Numbers of nodes that are measured, all over designZones zones.
+var controlSizes = []int{39, 78, 156, 312}
+
+// runControl measures what control costs a node at several sizes, and what
+// each cost would be at the size to design for. Nodes are joined by a
+// network in memory here.
+func runControl(ctx context.Context, e mwscenario.Env) ([]mwfigure.Measure, error) {
+	if !e.Treated() {
+		return nil, nil // The baseline has no control of its own.
+	}
+	if e.Short {
+		e.Log.Warn("control is not run in a short run: its nodes need time to settle")
+		return nil, nil
+	}
+	var c control
+	for _, n := range controlSizes {
+		r, err := mwslope.Run(ctx, n, mwslope.WithZones(designZones),
+			mwslope.WithMeasure(controlMeasure))
+		if err != nil {
+			return nil, fmt.Errorf("%d nodes: %w", n, err)
+		}
+		c.add(r)
+	}
+	return c.measures(e), nil
+}
+
+// control is the costs of one node at each size.
+type control struct {
+	core, memory, bytes []mwfigure.Point
+	longest             time.Duration // longest is the time of the slowest change.
+}
+
+func (c *control) add(r mwslope.Report) {
+	n := mwfigure.Value(r.Nodes)
+	var wire mwfigure.Value
+	for _, role := range r.Roles {
+		wire = max(wire, mwfigure.Value(role.Wire)/bytesPerKB)
+	}
+	c.core = append(c.core, mwfigure.Point{Size: n, Value: mwfigure.Value(r.Core) * 100})
+	c.memory = append(c.memory, mwfigure.Point{Size: n, Value: mwfigure.Value(r.Memory) / bytesPerMB})
+	c.bytes = append(c.bytes, mwfigure.Point{Size: n, Value: wire})
+	for _, d := range r.Changes {
+		c.longest = max(c.longest, d)
+	}
+}
+
+func (c *control) measures(e mwscenario.Env) []mwfigure.Measure {
+	var ms []mwfigure.Measure
+	for _, x := range []struct {
+		name   mwfigure.Name
+		unit   mwfigure.Unit
+		points []mwfigure.Point
+		target mwfigure.Value
+	}{
+		{"Core", mwfigure.Percent, c.core, coreTarget},
+		{"Memory", megabytes, c.memory, memoryTarget},
+		{"WorstRoleSends", kilobytes, c.bytes, bytesTarget},
+	} {
+		for _, p := range x.points {
+			name := fmt.Sprintf("%sAt%d", x.name, int(p.Size))
+			ms = append(ms, e.Measure(mwfigure.Name(name), x.unit, p.Value, mwfigure.Target{}))
+		}
+		name := fmt.Sprintf("%sAt%d", x.name, designNodes)
+		ms = append(ms, e.Measure(mwfigure.Name(name), x.unit,
+			mwfigure.Beyond(designNodes, x.points...), mwfigure.AtMost(x.target)))
+	}
+	return append(ms, e.Measure("LongestChange", mwfigure.Seconds,
+		mwfigure.Value(c.longest.Seconds()), mwfigure.AtMost(configTarget)))
+}
