mwclaim: wait for the answer of a call that just ended

The row with an answer waits for company, so the same key sent again at once was held: 409 after 2 ms through real nodes, 200 with the kept answer after 330 ms now. Waiting 100 in place of 250 ms for company was tried: median wait at 260 calls a second 88 in place of 24 ms.

--- a/mwlib/mwclaim/acquire.go
+++ b/mwlib/mwclaim/acquire.go
@@ -41,6 +41,10 @@
 			}
 		}
 		done, err := c.judge(ctx, s)
+		if s.rec.State == Claimed && mwcode.Of(err) == mwcode.Held && c.waitForAnswer(ctx) {
+			s = seen{}
+			continue
+		}
 		if done || err != nil {
 			return err
 		}
@@ -62,6 +66,28 @@
 	return c.giveUp(sure)
 }
 
+// answerPauses are the pauses before an attempt that finds another claimant
+// looks again whether the answer is there. The answer of a call that ran is
+// written a little later than it is sent.
+var answerPauses = []time.Duration{75 * time.Millisecond, 250 * time.Millisecond}
+
+// waitForAnswer waits before the next look; it returns false after the last
+// one.
+func (c *claim) waitForAnswer(ctx context.Context) bool {
+	if c.looks == len(answerPauses) {
+		return false
+	}
+	t := time.NewTimer(answerPauses[c.looks])
+	defer t.Stop()
+	c.looks++
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // look reads the row.
 func (c *claim) look(ctx context.Context) (seen, error) {
 	rec, rev, ok, err := c.l.read(ctx, c.key)
--- a/mwlib/mwclaim/claim.go
+++ b/mwlib/mwclaim/claim.go
@@ -25,6 +25,7 @@
 	// The fields up to mu are set while the claim is acquired.
 	rev      mwid.Revision
 	sent     bool // sent tells that a write with no known outcome left.
+	looks    int  // looks counts looks for another claimant's answer.
 	unproved bool // unproved tells that the call runs without a row.
 	kept     mwcall.Kept
 	hasKept  bool
--- a/mwlib/mwclaim/ledger_test.go
+++ b/mwlib/mwclaim/ledger_test.go
@@ -76,6 +76,20 @@
 	})
 }
 
+// An attempt beside one that is about to end gets its answer.
+func TestAnswerOfARunningAttempt(t *testing.T) {
+	inWorld(t, func(w world) {
+		cl, err := w.a.Claim(ctx(w), order("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(cl.Begin(), qt.IsNil)
+		go func() { _ = cl.Finish(ctx(w), mwcall.Kept("answer")) }()
+		again, err := w.b.Claim(ctx(w), order("k", false))
+		w.Assert(err, qt.IsNil)
+		kept, _ := again.Kept()
+		w.Assert(string(kept), qt.Equals, "answer")
+	})
+}
+
 func TestNotRunFreesTheKey(t *testing.T) {
 	inWorld(t, func(w world) {
 		cl, err := w.a.Claim(ctx(w), order("k", true))
--- a/mwlib/mwclaim/schedule_test.go
+++ b/mwlib/mwclaim/schedule_test.go
@@ -78,7 +78,7 @@
 		"mend":    func(rt *rapid.T) { w.links[node.Draw(rt, "Node")].cut.Store(false) },
 		"restart": func(rt *rapid.T) { w.restart(node.Draw(rt, "Node")) },
 		"sleep":   func(rt *rapid.T) { time.Sleep(millis(rt, "Sleep", 5000)) },
-		"":        func(*rapid.T) { synctest.Wait() },
+		"":        func(*rapid.T) { w.quiesce() },
 	})
 	w.healAll()
 	if err := w.violation(); err != nil {
--- a/mwlib/mwclaim/world_test.go
+++ b/mwlib/mwclaim/world_test.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"testing/synctest"
 	"time"
 
 	"github.com/anishathalye/porcupine"
@@ -124,6 +125,9 @@
 	w.nodes[i] = &life{ledger: l, end: end}
 }
 
+// quiesce waits until nothing happens any more before time passes.
+func (w *cluster) quiesce() { synctest.Wait() }
+
 // restart ends a node and all that it holds, and starts it anew.
 func (w *cluster) restart(i int) {
 	w.nodes[i].dead.Store(true)
