--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -9,6 +9,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -32,24 +33,12 @@
 // to other nodes and to backend servers.
 func New(k *mwkernel.Kernel, set mwsetting.Relay) (*Front, func()) {
 	f := &Front{k: k, buffer: set.Buffer, idle: set.Idle, peers: newPool(), backends: newPool()}
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		t := time.NewTicker(sweepPeriod)
-		defer t.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case now := <-t.C:
-				f.peers.sweep(now)
-				f.backends.sweep(now)
-			}
-		}
-	}()
+	stop := mwtimer.Every(sweepPeriod, func(now time.Time) {
+		f.peers.sweep(now)
+		f.backends.sweep(now)
+	})
 	return f, func() {
-		close(stop)
-		<-done
+		stop()
 		f.peers.close()
 		f.backends.close()
 	}
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -8,6 +8,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // Bounds of the time that an announcement holds.
@@ -33,21 +34,7 @@
 
 func newBackends(k *Kernel) (*backends, func()) {
 	b := &backends{k: k, m: mwshard.New[mwid.ServiceName, backend](1)}
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		t := time.NewTicker(sweepPeriod)
-		defer t.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case now := <-t.C:
-				b.sweep(now)
-			}
-		}
-	}()
-	return b, func() { close(stop); <-done }
+	return b, mwtimer.Every(sweepPeriod, b.sweep)
 }
 
 // get returns the announcement of s where it holds.
