mwclaim: write what is left at the node's end

A node that ended while the table was back left keys Claimed that it knew not to have run. It tries once more now, for 2 s at most. Answers that wait are bounded to 16 MB a node.

--- a/mwlib/mwclaim/claim.go
+++ b/mwlib/mwclaim/claim.go
@@ -72,12 +72,22 @@
 	}
 	c.spent = true
 	if !c.deadline.IsZero() && !time.Now().Before(c.deadline) {
-		c.l.settle.add(c, c.rec.as(NotRun))
+		c.abandon()
 		return mwcode.New(mwcode.DeadlinePassed)
 	}
 	return nil
 }
 
+// hasRow tells whether the table has or may get a row of c.
+func (c *claim) hasRow() bool { return !c.unproved || c.sent }
+
+// abandon lets it be written down that c did not run.
+func (c *claim) abandon() {
+	if c.hasRow() {
+		c.l.settle.add(c, c.rec.as(NotRun))
+	}
+}
+
 // spend gives up the right.
 func (c *claim) spend() {
 	c.mu.Lock()
@@ -89,7 +99,7 @@
 // written later, as long as this node lives.
 func (c *claim) NotRun(ctx context.Context) error {
 	c.spend()
-	if c.unproved && !c.sent {
+	if !c.hasRow() {
 		return nil
 	}
 	return c.finish(ctx, c.rec.as(NotRun))
--- a/mwlib/mwclaim/ledger_test.go
+++ b/mwlib/mwclaim/ledger_test.go
@@ -299,6 +299,28 @@
 	})
 }
 
+// What is still to be written is tried once more at the node's end.
+func TestDebtsArePaidAtTheEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s, end := mwfakestore.New()
+		defer end()
+		l, endLedger, err := mwclaim.New(s, mwclaim.WithLog(quiet))
+		c.Assert(err, qt.IsNil)
+		cl, err := l.Claim(context.Background(), order("k", true))
+		c.Assert(err, qt.IsNil)
+		s.SetFaults(mwfakestore.Faults{Away: true})
+		c.Assert(cl.NotRun(context.Background()), qt.IsNotNil)
+		s.SetFaults(mwfakestore.Faults{})
+		endLedger()
+		row, err := s.Get(context.Background(), mwclaim.RowKey("shop", "k"))
+		c.Assert(err, qt.IsNil)
+		rec, err := mwclaim.DecodeRecord(row.Value)
+		c.Assert(err, qt.IsNil)
+		c.Assert(rec.State, qt.Equals, mwclaim.NotRun)
+	})
+}
+
 // A store that is too busy for a while must cost waiting, and no refusals.
 func TestBusyStore(t *testing.T) {
 	inWorld(t, func(w world) {
--- a/mwlib/mwclaim/settle.go
+++ b/mwlib/mwclaim/settle.go
@@ -2,21 +2,23 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwshard"
-	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // settler writes what could not be written in time: that a claimant did not
-// run, or the answer that it has. What it holds is lost when the node ends;
-// the keys then stay as the table has them, which is safe, and may stay
-// Claimed for good.
+// run, or the answer that it has. What can't be written at the node's end
+// either is lost; the keys then stay as the table has them, which is safe, and
+// may stay Claimed for good.
 type settler struct {
 	l     *Ledger
 	debts *mwshard.Map[ClaimantID, debt]
+	held  atomic.Int64 // held is the size of all objects in debts, in bytes.
 	wake  chan struct{}
 }
 
@@ -27,8 +29,11 @@
 	kept mwcall.Kept // kept is the object that must be stored before rec.
 }
 
-// maxDebts bounds the debts of one node.
-const maxDebts = 4096
+// Bounds of the debts of one node.
+const (
+	maxDebts                    = 4096
+	maxDebtObjects mwunit.Bytes = 16 << 20 // maxDebtObjects bounds all objects together.
+)
 
 // Bounds of the time between two tries to write debts.
 const (
@@ -57,18 +62,33 @@
 			}
 		}
 	}()
-	return s, func() { cancel(); <-done }
+	return s, func() { cancel(); <-done; s.payLast() }
+}
+
+// lastTimeout bounds the last try to write debts, at the node's end.
+const lastTimeout = 2 * time.Second
+
+// payLast tries once more, since what is not written now never will be.
+func (s *settler) payLast() {
+	ctx, cancel := context.WithTimeout(context.Background(), lastTimeout)
+	defer cancel()
+	s.payRound(ctx)
+	if n := s.debts.Len(); n > 0 {
+		s.l.o.log.Warn("claims left as they are", "Count", n)
+	}
 }
 
 func (s *settler) add(c *claim, r Record) { s.addWith(c, r, nil) }
 
 // addWith adds a record whose answer k must be stored as an object first.
 func (s *settler) addWith(c *claim, r Record, k mwcall.Kept) {
-	if s.debts.Len() >= maxDebts {
+	size := int64(len(k))
+	if s.debts.Len() >= maxDebts || s.held.Load()+size > int64(maxDebtObjects) {
 		s.l.stat.dropped.Inc()
 		s.l.o.log.Warn("claim left as it is", "Row", c.key, "Claimant", r.Claimant, "State", r.State)
 		return
 	}
+	s.held.Add(size)
 	s.debts.Set(r.Claimant, debt{c, r, k})
 	select {
 	case s.wake <- struct{}{}:
@@ -125,12 +145,13 @@
 		return false
 	}
 	s.debts.Delete(id)
+	s.held.Add(-int64(len(d.kept)))
 	return true
 }
 
 func (s *settler) write(ctx context.Context, d debt) error {
 	if d.kept != nil {
-		if err := s.l.store.PutObject(ctx, mwstore.Key(d.rec.Object), d.kept); err != nil {
+		if err := s.l.store.PutObject(ctx, d.rec.Object, d.kept); err != nil {
 			return err
 		}
 	}
--- a/mwlib/mwclaim/world_test.go
+++ b/mwlib/mwclaim/world_test.go
@@ -128,10 +128,13 @@
 // quiesce waits until nothing happens any more before time passes.
 func (w *cluster) quiesce() { synctest.Wait() }
 
-// restart ends a node and all that it holds, and starts it anew.
+// restart ends a node, which writes nothing more, and starts it anew.
 func (w *cluster) restart(i int) {
 	w.nodes[i].dead.Store(true)
+	old := w.links[i]
+	old.cut.Store(true)
 	w.nodes[i].end()
+	w.links[i] = &link{Store: w.store, unchecked: old.unchecked}
 	w.mu.Lock()
 	for _, k := range w.keys {
 		k.tainted = true
