--- /dev/null
+++ b/mwlib/mwclaim/bench_test.go
@@ -0,0 +1,56 @@
+package mwclaim_test
+
+import (
+	"fmt"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwclaim"
+	"mustardwheel.example/mwlib/mwfakestore"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// callersAtOnce is how many calls wait at a time for each processor.
+const callersAtOnce = 256
+
+// BenchmarkClaim times one call that is claimed and finished, with the
+// stand-in of the store in the same process.
+func BenchmarkClaim(b *testing.B) {
+	c := qt.New(b)
+	s, end := mwfakestore.New()
+	c.Cleanup(end)
+	l, endLedger, err := mwclaim.New(s, mwclaim.WithLog(quiet))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(endLedger)
+	var n atomic.Int64
+	b.SetParallelism(callersAtOnce)
+	b.ReportAllocs()
+	before := processorTime(c)
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			k := mwid.CallKey(fmt.Sprint(n.Add(1)))
+			cl, err := l.Claim(b.Context(), order(k, true))
+			if err != nil || cl.Begin() != nil {
+				b.Error("not claimed")
+				return
+			}
+			if err := cl.Finish(b.Context(), mwcall.Kept("answer")); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+	used := processorTime(c) - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N), "cpu-us/op")
+}
+
+// processorTime returns the processor time that this process used.
+func processorTime(c *qt.C) time.Duration {
+	var u syscall.Rusage
+	c.Assert(syscall.Getrusage(syscall.RUSAGE_SELF, &u), qt.IsNil)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/mwlib/mwstorehttp/client_test.go
+++ b/mwlib/mwstorehttp/client_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -124,6 +125,35 @@
 	c.Assert(mwcode.Of(err), qt.Equals, mwcode.StoreAway)
 }
 
+// A connection that goes silent must not keep the next request from a fresh
+// one.
+func TestSilentConnection(t *testing.T) {
+	c := qt.New(t)
+	var requests atomic.Int32
+	var silent atomic.Value
+	s, end := mwfakestore.New()
+	c.Cleanup(end)
+	h := mwstorehttp.NewHandler(s)
+	_, url := start(c, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case requests.Add(1) == 1:
+			silent.Store(r.RemoteAddr)
+		case silent.Load() == r.RemoteAddr:
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		h.ServeHTTP(w, r)
+	}))
+	cl, endClient := mwstorehttp.NewClient(mwid.Address(strings.TrimPrefix(url, "http://")),
+		mwstorehttp.WithTimeout(100*time.Millisecond))
+	c.Cleanup(endClient)
+	for _, want := range []mwcode.Code{mwcode.OK, mwcode.StoreUnknown, mwcode.OK} {
+		_, err := cl.Commit(context.Background(), mwstore.Txn{})
+		c.Assert(mwcode.Of(err), qt.Equals, want)
+	}
+}
+
 func TestAnswersWithoutACode(t *testing.T) {
 	tests := []struct {
 		name, body string
