mwadmit: let long work wait in a longer queue

Change: 16 at the least for the lane of long work, whose few slots lose calls to each burst as those of a retired interface do.

--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -38,10 +38,10 @@
 
 // Least capacities of queues.
 const (
-	plainLeast mwunit.Slots = 4
-	// retiredLeast is for a retired interface: its few slots would else lose
-	// calls to each burst.
-	retiredLeast mwunit.Slots = 16
+	usualLeast mwunit.Slots = 4
+	// fewLeast is for a retired interface and for long work: their few slots
+	// would else lose calls to each burst.
+	fewLeast mwunit.Slots = 16
 )
 
 func newGate[P mwlimit.Policy](cfg *config, stat *gateStats, p P, a mwcall.Announcement) *gate[P] {
@@ -186,9 +186,9 @@
 	if each <= 0 {
 		return g.cfg.queue
 	}
-	n, least := mwunit.Slots(g.cfg.wait/each), plainLeast
-	if b != g.plain {
-		least = retiredLeast
+	n, least := mwunit.Slots(g.cfg.wait/each), usualLeast
+	if b != g.plain || l == mwlane.Long {
+		least = fewLeast
 	}
 	return min(max(n, least), g.cfg.queue)
 }
