--- a/mwlib/mwclaim/group_test.go
+++ b/mwlib/mwclaim/group_test.go
@@ -110,7 +110,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
-				w, end := newCluster(3, 1, false, true)
+				w, end := newCluster(3, 1, nothing, true)
 				defer end()
 				test.harm(w)
 				for i := range 20 {
--- a/mwlib/mwclaim/schedule_test.go
+++ b/mwlib/mwclaim/schedule_test.go
@@ -55,11 +55,11 @@
 
 // schedule drives a cluster through a random schedule and returns what was
 // wrong.
-func schedule(rt *rapid.T, unchecked bool) error {
+func schedule(rt *rapid.T, p plant) error {
 	runFirst := rapid.Bool().Draw(rt, "RunFirst")
 	stale := rapid.Bool().Draw(rt, "StaleReads")
 	seed := rapid.Uint64().Draw(rt, "Seed")
-	w, end := newCluster(scheduleNodes, seed, unchecked, rapid.Bool().Draw(rt, "Group"), mwclaim.WithRunFirst(runFirst))
+	w, end := newCluster(scheduleNodes, seed, p, rapid.Bool().Draw(rt, "Group"), mwclaim.WithRunFirst(runFirst))
 	defer end()
 	node := rapid.IntRange(0, scheduleNodes-1)
 	key := rapid.SampledFrom([]mwid.CallKey{"a", "b", "c"})
@@ -156,7 +156,7 @@
 	eachSeed(t, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			rapid.Check(timeless{t}, func(rt *rapid.T) {
-				if err := schedule(rt, false); err != nil {
+				if err := schedule(rt, nothing); err != nil {
 					rt.Fatal(err)
 				}
 			})
@@ -164,18 +164,21 @@
 	})
 }
 
-// The schedules must find a table that leaves the claim check out.
+// The schedules must find a table that leaves the claim check out, and a
+// refusal that says NotRun of a key that may have run.
 func TestSchedulesFindAPlantedFault(t *testing.T) {
-	eachSeed(t, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			found := 0
-			rapid.Check(timeless{t}, func(rt *rapid.T) {
-				if schedule(rt, true) != nil {
-					found++
-				}
+	for _, p := range []plant{unchecked, lying} {
+		eachSeed(t, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				found := 0
+				rapid.Check(timeless{t}, func(rt *rapid.T) {
+					if schedule(rt, p) != nil {
+						found++
+					}
+				})
+				qt.Assert(t, found > 0, qt.IsTrue)
+				t.Logf("fault %d: found by %d schedules", p, found)
 			})
-			qt.Assert(t, found > 0, qt.IsTrue)
-			t.Logf("found by %d schedules", found)
 		})
-	})
+	}
 }
--- a/mwlib/mwclaim/world_test.go
+++ b/mwlib/mwclaim/world_test.go
@@ -49,6 +49,15 @@
 	return r, err
 }
 
+// plant is a fault that the tests must find.
+type plant int
+
+const (
+	nothing   plant = iota
+	unchecked       // unchecked leaves the claim check of the table out.
+	lying           // lying takes an attempt that may have run for one that did not.
+)
+
 // life is one life of a node.
 type life struct {
 	ledger *mwclaim.Ledger
@@ -77,6 +86,7 @@
 // cluster is nodes that share a store, and callers, in virtual time.
 type cluster struct {
 	opts  []mwclaim.Option
+	plant plant
 	group bool
 	store *mwfakestore.Store
 	wire  *wire
@@ -93,14 +103,14 @@
 // quiet discards what the ledgers log.
 var quiet = slog.New(slog.DiscardHandler)
 
-func newCluster(nodes int, seed uint64, unchecked, group bool, opts ...mwclaim.Option) (*cluster, func()) {
+func newCluster(nodes int, seed uint64, p plant, group bool, opts ...mwclaim.Option) (*cluster, func()) {
 	s, end := mwfakestore.New(mwfakestore.WithSeed(seed))
 	w := &cluster{
-		opts: append(opts, mwclaim.WithLog(quiet)), group: group, wire: newWire(seed),
+		opts: append(opts, mwclaim.WithLog(quiet)), plant: p, group: group, wire: newWire(seed),
 		store: s, keys: make(map[mwid.CallKey]*keyState),
 	}
 	for range nodes {
-		w.links = append(w.links, &link{Store: s, unchecked: unchecked})
+		w.links = append(w.links, &link{Store: s, unchecked: p == unchecked})
 		w.nodes = append(w.nodes, nil)
 		w.boot(len(w.nodes) - 1)
 	}
@@ -223,6 +233,9 @@
 func (a *attempt) told(ctx context.Context, c mwcode.Code) {
 	a.w.mu.Lock()
 	defer a.w.mu.Unlock()
+	if a.w.plant == lying && c == mwcode.ClaimUnknown {
+		c = mwcode.ClaimsAway
+	}
 	if !c.NotRun() {
 		return
 	}
