--- /dev/null
+++ b/mwlib/mwmember/full_test.go
@@ -0,0 +1,127 @@
+package mwmember_test
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmember"
+)
+
+// The size to design for.
+const (
+	fullNodes    = 4100
+	fullZones    = 13
+	fullServices = 490
+)
+
+// silence is a Transport on which nobody answers.
+type silence struct{ h mwmember.Handler }
+
+// Serve notes h.
+func (s *silence) Serve(h mwmember.Handler) error {
+	s.h = h
+	return nil
+}
+
+// Ping gets no answer.
+func (*silence) Ping(ctx context.Context, _ mwid.Address, _ mwmember.Message) (mwmember.Message, error) {
+	<-ctx.Done()
+	return mwmember.Message{}, ctx.Err()
+}
+
+// PingVia gets no answer.
+func (*silence) PingVia(ctx context.Context, _ mwid.Address, _ mwmember.ViaRequest) (mwmember.ViaReply, error) {
+	<-ctx.Done()
+	return mwmember.ViaReply{}, ctx.Err()
+}
+
+// Exchange gets no answer.
+func (*silence) Exchange(ctx context.Context, _ mwid.Address, _ mwmember.ExchangeRequest) (mwmember.ExchangeReply, error) {
+	<-ctx.Done()
+	return mwmember.ExchangeReply{}, ctx.Err()
+}
+
+// fullRecord returns the record of node i.
+func fullRecord(i int, inc mwmember.Incarnation) mwmember.Record {
+	return mwmember.Record{
+		Node:        mwid.NodeID(fmt.Sprintf("10.%d.%d.%d:7002#0123456789ab%04x", i%fullZones, i>>8, i&0xff, i)),
+		Zone:        mwid.ZoneName(fmt.Sprint("zone-", i%fullZones)),
+		Region:      mwid.RegionName(fmt.Sprint("region-", i%fullZones%5)),
+		Incarnation: inc,
+		Services: []mwmember.Service{{
+			Name: mwid.ServiceName(fmt.Sprint("service-", i%fullServices)), Slots: 90, Connections: 660,
+		}},
+	}
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// BenchmarkFullTable measures one node that knows all nodes of the size to
+// design for: its heap, and the processor time of one change of a record,
+// with the view that it makes.
+func BenchmarkFullTable(b *testing.B) {
+	before := heap()
+	tr := &silence{}
+	g, end, err := mwmember.New(mwid.NewNodeID("10.200.0.1:7002", "boot"), tr,
+		mwmember.WithPlace("zone-0", "region-0"), mwmember.WithPeriod(10*time.Second))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer end()
+	for i := 0; i < fullNodes; i += 100 {
+		var rs []mwmember.Record
+		for j := range 100 {
+			rs = append(rs, fullRecord(i+j, 1))
+		}
+		tr.h.HandleExchange(mwmember.ExchangeRequest{Records: rs})
+	}
+	for len(g.Services()) < fullServices {
+		time.Sleep(time.Millisecond)
+	}
+	held := heap() - before
+	cpu, n := processorTime(b), 0
+	for b.Loop() {
+		n++
+		r := fullRecord(n%fullNodes, mwmember.Incarnation(n+1))
+		old := &g.Targets(r.Services[0].Name)[0]
+		tr.h.HandleExchange(mwmember.ExchangeRequest{Records: []mwmember.Record{r}})
+		for &g.Targets(r.Services[0].Name)[0] == old {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	b.ReportMetric(float64((processorTime(b)-cpu).Microseconds())/float64(n), "cpu-µs/change")
+	b.ReportMetric(float64(held)/1024, "KB-heap")
+}
+
+// BenchmarkTargets measures what the path of calls reads.
+func BenchmarkTargets(b *testing.B) {
+	tr := &silence{}
+	g, end, err := mwmember.New(mwid.NewNodeID("10.200.0.1:7002", "boot"), tr, mwmember.WithPlace("zone-0", "region-0"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer end()
+	b.ReportAllocs()
+	for b.Loop() {
+		g.Targets("service-1")
+	}
+}
--- a/mwlib/mwmember/gossip_test.go
+++ b/mwlib/mwmember/gossip_test.go
@@ -182,3 +182,28 @@
 		cl.settled(2 * time.Minute)
 	})
 }
+
+func TestNodeThatHearsNobodyHarmsNobody(t *testing.T) {
+	run(t, 2, 12, func(cl *cluster) {
+		cl.settled(30 * time.Second)
+		x := cl.Nodes()[5]
+		cl.Net.SetLost(func(_, to mwmemnet.Place) bool { return to.Address == x.Place.Address })
+		var rest []*mwcluster.Node
+		for _, n := range cl.Nodes() {
+			if n != x {
+				rest = append(rest, n)
+			}
+		}
+		lost := 0
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(step) {
+			for _, n := range rest {
+				lost = max(lost, len(rest)-n.Up())
+			}
+		}
+		t.Logf("at most %d others were not up", lost)
+		cl.c.Check(lost <= 1, qt.IsTrue)
+		cl.c.Check(everywhere(rest, isGone(x.ID))(), qt.IsTrue)
+		cl.Net.SetLost(nil)
+		cl.settled(2 * time.Minute)
+	})
+}
