mwadmit: say LaneFull whenever the lane is full

Cause: a long call that was shed while all slots were in use had the code Overloaded, which tells callers that the target has no room for any call. Change: LaneFull where the bound of the lane keeps it out.

--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -114,7 +114,7 @@
 	switch {
 	case !t.band.open():
 		return mwcode.RetiredCeiling
-	case t.lane == mwlane.Long && g.slots.Used() < g.slots.Limit():
+	case t.lane == mwlane.Long && g.slots.Full(mwlane.Long):
 		return mwcode.LaneFull
 	}
 	return mwcode.Overloaded
--- a/mwlib/mwlane/lane.go
+++ b/mwlib/mwlane/lane.go
@@ -99,13 +99,16 @@
 // Free tells whether one more call of lane l may start.
 func (s *Slots) Free(l Lane) bool {
 	for ; l >= Short; l-- {
-		if s.from(l) >= s.bounds[l] {
+		if s.Full(l) {
 			return false
 		}
 	}
 	return true
 }
 
+// Full tells whether the bound of lane l itself is used up.
+func (s *Slots) Full(l Lane) bool { return s.from(l) >= s.bounds[l] }
+
 // Take counts a call of lane l that starts.
 func (s *Slots) Take(l Lane) { s.used[l]++ }
 
