--- a/mwlib/mwmember/cluster_test.go
+++ b/mwlib/mwmember/cluster_test.go
@@ -41,6 +41,9 @@
 	return n
 }
 
+// pass lets virtual time pass.
+func pass(d time.Duration) { time.Sleep(d) }
+
 // step is the time between two looks of within.
 const step = 50 * time.Millisecond
 
--- a/mwlib/mwversion/cluster_test.go
+++ b/mwlib/mwversion/cluster_test.go
@@ -75,6 +75,9 @@
 	return r.Version
 }
 
+// pass lets virtual time pass.
+func pass(d time.Duration) { time.Sleep(d) }
+
 // step is the time between two looks of within.
 const step = 50 * time.Millisecond
 
