--- /dev/null
+++ b/mwlib/mwmember/example_test.go
@@ -0,0 +1,37 @@
+package mwmember_test
+
+import (
+	"fmt"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwmember"
+	"mustardwheel.example/mwlib/mwmemnet"
+)
+
+// start starts a node on n that knows the address join.
+func start(n *mwmemnet.Network, addr, join mwid.Address) (*mwmember.Gossip, func()) {
+	peers, leave := n.Join(mwmemnet.Place{Address: addr, Zone: "wien-a", Region: "wien"})
+	g, end, err := mwmember.New(mwid.NewNodeID(addr, mwid.NewBootID()), mwmember.NewTransport(peers),
+		mwmember.WithPlace("wien-a", "wien"), mwmember.WithJoin(join))
+	if err != nil {
+		panic(err)
+	}
+	return g, func() { end(); leave() }
+}
+
+func Example() {
+	n := mwmemnet.New(1)
+	a, endA := start(n, "10.0.0.1:7002", "10.0.0.2:7002")
+	defer endA()
+	b, endB := start(n, "10.0.0.2:7002", "10.0.0.1:7002")
+	defer endB()
+	b.Announce(mwcall.Announcement{Service: "auftrag", Address: "127.0.0.1:9001", Slots: 90, Connections: 660})
+	for len(a.Targets("auftrag")) == 0 {
+		<-time.After(lookGap)
+	}
+	t := a.Targets("auftrag")[0]
+	fmt.Println(t.Peer, t.Zone, t.Slots)
+	// Output: 10.0.0.2:7002 wien-a 90
+}
