--- a/mwbench/internal/mwexperiment/added.go
+++ b/mwbench/internal/mwexperiment/added.go
@@ -28,16 +28,21 @@
 
 // Pace of the calls: each way is called once a round.
 const (
-	addedPause                      = 2 * time.Millisecond
-	addedCalls                      = 2000
-	addedCallsShort                 = 300
-	addedWarmUp                     = 100
-	addedSlots         mwunit.Slots = 32
-	addedTarget                     = 0.31
-	addedRelayTarget                = 1.2
-	addedMaxMicros                  = 10_000_000
-	addedDigits                     = 3
-	addedEntry, addedS              = "gate", "goal"
+	addedPause                    = 2 * time.Millisecond
+	addedCalls                    = 2000
+	addedCallsShort               = 300
+	addedWarmUp                   = 100
+	addedSlots       mwunit.Slots = 32
+	addedTarget                   = 0.31
+	addedRelayTarget              = 1.2
+	addedMaxMicros                = 10_000_000
+	addedDigits                   = 3
+)
+
+// Services of the scenario: calls come in by the node of gate and go to goal.
+const (
+	gate mwid.ServiceName = "gate"
+	goal mwid.ServiceName = "goal"
 )
 
 // way is one of the ways to the backend server that are compared.
@@ -60,21 +65,21 @@
 		}, mwfakeserver.Class{Prefix: "/", Body: shortBody})
 	}
 	t, end, err := newTrial(ctx, e, mwtestbed.Spec{
-		Services: []mwtestbed.Service{one(addedEntry), one(addedS)}, Works: standardWorks(e.Profile),
+		Services: []mwtestbed.Service{one(gate), one(goal)}, Works: standardWorks(e.Profile),
 	}, nil)
 	if err != nil {
 		return nil, err
 	}
 	defer end()
-	goal := t.bed.Targets(addedS)[0].Server.Address()
-	relay, endRelay, err := newRelays(goal)
+	backend := t.bed.Targets(goal)[0].Server.Address()
+	relay, endRelay, err := newRelays(backend)
 	if err != nil {
 		return nil, err
 	}
 	defer endRelay()
 	a := &added{env: e, ways: []*way{
-		newWay(direct, goal), newWay(emptyRelay, relay),
-		newWay(e.Arm, t.bed.Targets(addedEntry)[0].Host.Entry()),
+		newWay(direct, backend), newWay(emptyRelay, relay),
+		newWay(e.Arm, t.bed.Targets(gate)[0].Host.Entry()),
 	}}
 	if err := a.run(ctx); err != nil {
 		return nil, err
@@ -129,7 +134,7 @@
 	if err != nil {
 		return 0, err
 	}
-	r.Header.Set("Mw-Service", addedS)
+	r.Header.Set("Mw-Service", string(goal))
 	start := time.Now()
 	res, err := cl.Do(r)
 	if err != nil {
