mwclaim: run as many schedules as asked for

All schedules shared one bubble, so rapid's limit of 24 hours ran in virtual time: a run of 10,000 ended after 281 and passed.

--- a/mwlib/mwclaim/schedule_test.go
+++ b/mwlib/mwclaim/schedule_test.go
@@ -149,17 +149,28 @@
 	}
 }
 
-// timeless hides the deadline of a test, which virtual time does not have.
-type timeless struct{ testing.TB }
+// inBubble runs one schedule in virtual time of its own, so that the limit
+// of a run is in real time. A panic by which rapid ends a schedule goes on in
+// the caller's goroutine.
+func inBubble(t *testing.T, rt *rapid.T, p plant) error {
+	var err error
+	var stopped any
+	synctest.Test(t, func(*testing.T) {
+		defer func() { stopped = recover() }()
+		err = schedule(rt, p)
+	})
+	if stopped != nil {
+		panic(stopped)
+	}
+	return err
+}
 
 func TestSchedules(t *testing.T) {
 	eachSeed(t, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			rapid.Check(timeless{t}, func(rt *rapid.T) {
-				if err := schedule(rt, nothing); err != nil {
-					rt.Fatal(err)
-				}
-			})
+		rapid.Check(t, func(rt *rapid.T) {
+			if err := inBubble(t, rt, nothing); err != nil {
+				rt.Fatal(err)
+			}
 		})
 	})
 }
@@ -169,16 +180,14 @@
 func TestSchedulesFindAPlantedFault(t *testing.T) {
 	for _, p := range []plant{unchecked, lying} {
 		eachSeed(t, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				found := 0
-				rapid.Check(timeless{t}, func(rt *rapid.T) {
-					if schedule(rt, p) != nil {
-						found++
-					}
-				})
-				qt.Assert(t, found > 0, qt.IsTrue)
-				t.Logf("fault %d: found by %d schedules", p, found)
+			found := 0
+			rapid.Check(t, func(rt *rapid.T) {
+				if inBubble(t, rt, p) != nil {
+					found++
+				}
 			})
+			qt.Assert(t, found > 0, qt.IsTrue)
+			t.Logf("fault %d: found by %d schedules", p, found)
 		})
 	}
 }
