mwslope: measure the steady state

Cause: 512 nodes still sent news of their start while they were measured. Change: a run waits until the traffic does not fall any more.

--- a/mwlib/mwslope/run.go
+++ b/mwlib/mwslope/run.go
@@ -61,6 +61,8 @@
 	inForceTimeout  = 30 * time.Second
 	look            = 10 * time.Millisecond
 	settleTime      = 3 * time.Second
+	maxSettles      = 30
+	settled         = 0.95 // settled is the part of a while's traffic that the next one has at rest.
 	startsAtOnce    = 16
 	startsAtOnceGap = 100 * time.Millisecond
 )
@@ -155,8 +157,31 @@
 	return err
 }
 
-// settle waits until joining has stopped to show.
-func (r *run) settle(ctx context.Context) error { return pause(ctx, settleTime) }
+// settle waits until the traffic of the start has ceased: until a while has
+// hardly less than the one before.
+func (r *run) settle(ctx context.Context) error {
+	before, last := r.sent(), mwunit.Bytes(0)
+	for i := range maxSettles {
+		if err := pause(ctx, settleTime); err != nil {
+			return err
+		}
+		now := r.sent()
+		if i > 0 && float64(now-before) > settled*float64(last) {
+			return nil
+		}
+		before, last = now, now-before
+	}
+	return nil
+}
+
+// sent returns what all nodes have sent so far.
+func (r *run) sent() mwunit.Bytes {
+	var sum mwunit.Bytes
+	for _, n := range r.cl.Nodes() {
+		sum += n.Peer.Traffic().Sent
+	}
+	return sum
+}
 
 // heap returns the size of the live heap.
 func heap() mwunit.Bytes {
