--- a/mwbench/run.go
+++ b/mwbench/run.go
@@ -18,7 +18,7 @@
 type runner struct {
 	Profile mwprofile.Name `long:"profile" env:"MW_BENCH_PROFILE" default:"verband" description:"size of the system: a name that the verb list shows"`
 	Seeds   int            `long:"seeds" env:"MW_BENCH_SEEDS" default:"1" description:"number of runs of each arm, each with a seed of its own"`
-	Short   bool           `long:"short" env:"MW_BENCH_SHORT" description:"short phases: all scenarios together end within 40 s for one seed"`
+	Short   bool           `long:"short" env:"MW_BENCH_SHORT" description:"short phases, without the scenario control: about 50 s for one seed of all scenarios"`
 	Output  string         `long:"output" env:"MW_BENCH_OUTPUT" default:"table" choice:"table" choice:"json" description:"format of the figures"`
 	Check   bool           `long:"check" env:"MW_BENCH_CHECK" description:"exit with 3 where a figure misses its target"`
 	Verbose bool           `long:"verbose" env:"MW_BENCH_VERBOSE" description:"log what the nodes log, as JSON lines"`
