--- a/mwlib/mwclaim/acquire.go
+++ b/mwlib/mwclaim/acquire.go
@@ -6,6 +6,7 @@
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // maxRounds bounds how often one claim is tried against rows that change or
@@ -77,7 +78,7 @@
 	if c.looks == len(answerPauses) {
 		return false
 	}
-	t := time.NewTimer(answerPauses[c.looks])
+	t := mwtimer.NewTimer(answerPauses[c.looks])
 	defer t.Stop()
 	c.looks++
 	select {
--- a/mwlib/mwclaim/lane.go
+++ b/mwlib/mwclaim/lane.go
@@ -13,6 +13,7 @@
 	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwstore"
 	"mustardwheel.example/mwlib/mwstoreclient"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // Put is a write of one row on the condition that the row has a revision; 0
@@ -132,7 +133,7 @@
 			return nil
 		}
 	}
-	t := time.NewTimer(l.wait(b))
+	t := mwtimer.NewTimer(l.wait(b))
 	defer t.Stop()
 	for len(b.puts) < l.batch {
 		select {
@@ -231,7 +232,7 @@
 
 // rest waits for busyPause.
 func (l *lane) rest(ctx context.Context) {
-	t := time.NewTimer(busyPause)
+	t := mwtimer.NewTimer(busyPause)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwclaim/settle.go
+++ b/mwlib/mwclaim/settle.go
@@ -8,6 +8,7 @@
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -108,7 +109,7 @@
 		if paid {
 			pause = minSettlePause
 		}
-		t := time.NewTimer(pause)
+		t := mwtimer.NewTimer(pause)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
--- a/mwlib/mwfakeserver/slow.go
+++ b/mwlib/mwfakeserver/slow.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -71,7 +72,7 @@
 
 // wait waits for d; it returns false where stop is closed before.
 func wait(d time.Duration, stop <-chan struct{}) bool {
-	t := time.NewTimer(d)
+	t := mwtimer.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwfakestore/fault.go
+++ b/mwlib/mwfakestore/fault.go
@@ -6,6 +6,7 @@
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -198,7 +199,7 @@
 	if d <= 0 {
 		return nil
 	}
-	t := time.NewTimer(d)
+	t := mwtimer.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -24,6 +24,7 @@
 	"mustardwheel.example/mwlib/mwrpc"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // Bounds of the listeners' connections.
@@ -195,7 +196,7 @@
 // at once would break requests that are on their way.
 func (h *Host) Drain(ctx context.Context) error {
 	h.log.Info("draining", "Node", h.kernel.Self().Node)
-	linger := time.NewTimer(drainLinger)
+	linger := mwtimer.NewTimer(drainLinger)
 	defer linger.Stop()
 	if err := h.kernel.Drain(ctx); err != nil {
 		return fmt.Errorf("mwhost: draining: %w", err)
--- a/mwlib/mwkernel/hedge.go
+++ b/mwlib/mwkernel/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // hedged makes an attempt at t and, where no head is there after d, a second
@@ -13,7 +14,7 @@
 func (r *routing) hedged(ctx context.Context, t mwcall.Target, d time.Duration) outcome {
 	r.balance-- // Held for the second attempt until it is known whether it starts.
 	first := r.start(ctx, t)
-	timer := time.NewTimer(d)
+	timer := mwtimer.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case o := <-first.done:
--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -8,6 +8,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // look reads the row of the lease; without a row the lease is free.
@@ -151,7 +152,7 @@
 
 // wait waits for d, or until ctx is done, whose error it returns.
 func wait(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
+	t := mwtimer.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwmember/exchange.go
+++ b/mwlib/mwmember/exchange.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -63,7 +64,7 @@
 		if g.starting() {
 			gap = startGap
 		}
-		if !sleep(ctx, gap) {
+		if !mwtimer.Sleep(ctx, gap) {
 			return
 		}
 	}
--- a/mwlib/mwmember/gossip.go
+++ b/mwlib/mwmember/gossip.go
@@ -18,6 +18,7 @@
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwshard"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -179,18 +180,6 @@
 	}
 }
 
-// sleep waits for d and tells whether ctx is still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // How often views are made.
 const (
 	// viewGap is the least time between two views.
@@ -213,7 +202,7 @@
 		}
 		begin := time.Now()
 		g.rebuild()
-		if !sleep(ctx, min(max(viewGap, viewShare*time.Since(begin)), maxViewGap)) {
+		if !mwtimer.Sleep(ctx, min(max(viewGap, viewShare*time.Since(begin)), maxViewGap)) {
 			return
 		}
 	}
--- a/mwlib/mwmember/join.go
+++ b/mwlib/mwmember/join.go
@@ -14,6 +14,7 @@
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // EntryPrefix starts the keys of rows that hold an Entry: the zone and a
@@ -54,7 +55,7 @@
 			}
 			wait = rand.N(entryPeriod)
 		}
-		if !sleep(ctx, wait) {
+		if !mwtimer.Sleep(ctx, wait) {
 			return
 		}
 		g.keepEntries(ctx)
@@ -75,7 +76,7 @@
 		if tries > 0 {
 			g.enterIn(ctx, es, 0)
 		}
-		if !sleep(ctx, wait+rand.N(wait)) {
+		if !mwtimer.Sleep(ctx, wait+rand.N(wait)) {
 			return false
 		}
 		wait = min(2*wait, maxJoinWait)
--- a/mwlib/mwmember/news.go
+++ b/mwlib/mwmember/news.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -168,12 +169,12 @@
 			return
 		case <-g.wake:
 		}
-		if !sleep(ctx, collectDelay) {
+		if !mwtimer.Sleep(ctx, collectDelay) {
 			return
 		}
 		for again := true; again; again = g.hasFresh() {
 			g.passOnce(ctx)
-			if !sleep(ctx, passGap) {
+			if !mwtimer.Sleep(ctx, passGap) {
 				return
 			}
 		}
--- a/mwlib/mwmember/probe.go
+++ b/mwlib/mwmember/probe.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // How failures are found.
@@ -23,7 +24,7 @@
 
 // probeInTurn pings one neighbour in each period.
 func (g *Gossip) probeInTurn(ctx context.Context) {
-	t := time.NewTicker(g.period)
+	t := mwtimer.NewTicker(g.period)
 	defer t.Stop()
 	var turn []mwid.NodeID
 	for {
--- a/mwlib/mwmember/relay.go
+++ b/mwlib/mwmember/relay.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // How relays watch other zones.
@@ -51,7 +52,7 @@
 
 // run pings other zones in each period.
 func (r *relay) run(ctx context.Context) {
-	t := time.NewTicker(relayPeriod)
+	t := mwtimer.NewTicker(relayPeriod)
 	defer t.Stop()
 	for {
 		select {
--- a/mwlib/mwmemnet/network.go
+++ b/mwlib/mwmemnet/network.go
@@ -16,6 +16,7 @@
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -217,7 +218,7 @@
 		<-ctx.Done()
 		return gone
 	}
-	t := time.NewTimer(n.latency(p.place, to))
+	t := mwtimer.NewTimer(n.latency(p.place, to))
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwoperator/apply.go
+++ b/mwlib/mwoperator/apply.go
@@ -10,6 +10,7 @@
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // maxTries bounds how often a change runs for the next version.
@@ -82,7 +83,7 @@
 // pause waits a random time that grows with the number of tries.
 func (c *change) pause(ctx context.Context, n int) error {
 	d := c.o.retryDelay * time.Duration(n+1)
-	t := time.NewTimer(rand.N(d) + 1)
+	t := mwtimer.NewTimer(rand.N(d) + 1)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -16,6 +16,7 @@
 	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // Router picks the better of two random targets in the nearest tier that has
@@ -61,7 +62,7 @@
 	stop, done := make(chan struct{}), make(chan struct{})
 	go func() {
 		defer close(done)
-		t := time.NewTicker(sweepPeriod)
+		t := mwtimer.NewTicker(sweepPeriod)
 		defer t.Stop()
 		for {
 			select {
--- a/mwlib/mwslope/run.go
+++ b/mwlib/mwslope/run.go
@@ -17,6 +17,7 @@
 	"mustardwheel.example/mwlib/mwmemnet"
 	"mustardwheel.example/mwlib/mwoperator"
 	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -194,7 +195,7 @@
 
 // pause waits for d.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
+	t := mwtimer.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwstoreclient/breaker.go
+++ b/mwlib/mwstoreclient/breaker.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // breaker refuses requests while the store is away.
@@ -118,7 +119,7 @@
 
 // pause waits for d, or until ctx is done, whose error it returns.
 func pause(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
+	t := mwtimer.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
--- a/mwlib/mwstoreclient/pacer.go
+++ b/mwlib/mwstoreclient/pacer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -76,7 +77,7 @@
 func (p *pacer) sleep(ctx context.Context, d time.Duration, some bool) bool {
 	var ready <-chan time.Time
 	if some {
-		t := time.NewTimer(d)
+		t := mwtimer.NewTimer(d)
 		defer t.Stop()
 		ready = t.C
 	}
--- a/mwlib/mwtimer/timer.go
+++ b/mwlib/mwtimer/timer.go
@@ -27,6 +27,10 @@
 // Stop keeps t from sending, where it has not yet, and tells whether it did.
 func (t *Timer) Stop() bool { return t.t.Stop() }
 
+// Reset makes t send after d from now. The owner must have taken what t sent
+// before.
+func (t *Timer) Reset(d time.Duration) { t.t.Reset(d) }
+
 // Ticker sends the time on C once a period; a tick that nobody takes is
 // dropped.
 type Ticker struct {
--- a/mwlib/mwversion/fetch.go
+++ b/mwlib/mwversion/fetch.go
@@ -7,6 +7,7 @@
 
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // rpcName is the name under which the methods are served.
@@ -75,7 +76,7 @@
 	if n, ok := f.member.(notifier); ok {
 		grew = n.NewestChanged()
 	}
-	t := time.NewTicker(followPeriod)
+	t := mwtimer.NewTicker(followPeriod)
 	defer t.Stop()
 	for {
 		select {
@@ -85,7 +86,7 @@
 		case <-t.C:
 		}
 		for f.behind() && f.catchUp(ctx) {
-			if !sleep(ctx, fetchGap) {
+			if !mwtimer.Sleep(ctx, fetchGap) {
 				return
 			}
 		}
@@ -110,7 +111,7 @@
 			return true
 		}
 	}
-	return sleep(ctx, fetchBackoff)
+	return mwtimer.Sleep(ctx, fetchBackoff)
 }
 
 // fetch fetches from the node at addr and tells whether that raised the
@@ -143,15 +144,3 @@
 		return f.installWhole(fromPeer, res.Whole)
 	}
 }
-
-// sleep waits for d and tells whether ctx is still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/mwlib/mwversion/poll.go
+++ b/mwlib/mwversion/poll.go
@@ -10,6 +10,7 @@
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwtimer"
 )
 
 // How the table is polled.
@@ -37,10 +38,10 @@
 // comes after a random part of the period, so that nodes that start together
 // know by then which of them polls.
 func (f *Fanout) pollInTurn(ctx context.Context) {
-	if !sleep(ctx, rand.N(f.poll)+1) {
+	if !mwtimer.Sleep(ctx, rand.N(f.poll)+1) {
 		return
 	}
-	t := time.NewTicker(f.poll)
+	t := mwtimer.NewTicker(f.poll)
 	defer t.Stop()
 	for {
 		if f.onDuty() {
