--- a/mwlib/mwadmit/load_test.go
+++ b/mwlib/mwadmit/load_test.go
@@ -17,6 +17,7 @@
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwregistry"
 	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -45,7 +46,7 @@
 	defer func() { <-s.workers }()
 	d = time.Duration(float64(d) * s.slow(time.Since(s.start)))
 	select {
-	case <-time.After(d):
+	case <-mwtimer.NewTimer(d).C:
 		return true
 	case <-ctx.Done():
 		return false
--- a/mwlib/mwkernel/path_test.go
+++ b/mwlib/mwkernel/path_test.go
@@ -14,6 +14,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwregistry"
 	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -33,7 +34,7 @@
 	return func(ctx context.Context, _ *node, _ *mwcall.Call) (mwcall.Head, error) {
 		r := <-next
 		select {
-		case <-time.After(r.after):
+		case <-mwtimer.NewTimer(r.after).C:
 		case <-ctx.Done():
 			return mwcall.Head{}, mwcode.New(mwcode.Silent)
 		}
