mwroute: keep long work out of what rates a target for short

Cause: downloads wait for their lane at the target for seconds. The router learnt that time as the target's latency, found the target slow, and all short work went to the others at once. Ruled out: the lane itself, which kept its 6 slots, and admission, where up to 17 short calls met one target while 4.5 are the mean.

--- a/mwlib/mwroute/pick.go
+++ b/mwlib/mwroute/pick.go
@@ -115,6 +115,9 @@
 	s, _ := p.r.states.Get(targetKey{t.Node, t.Service})
 	n := p.v.norm(t.Region, p.r.set.SlowFactor)
 	l := s.load(t.Slots, n.typical, p.now.Sub(p.r.epoch), p.now)
+	if p.c.Class.Length == mwconfig.Long {
+		l = s.loadOfLong(t.Slots, n.typical)
+	}
 	f := s.fitness(p.c, p.now)
 	slow := n.known() && l.Latency > n.tardy
 	if f == fit && (slow || s.onTrial()) {
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -59,21 +59,7 @@
 		far:    mwbudget.NewTokens[mwid.ServiceName](mwbudget.WithReserve(farReserve)),
 		meter:  newMeter(env.Metrics),
 	}
-	stop, done := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(done)
-		t := mwtimer.NewTicker(sweepPeriod)
-		defer t.Stop()
-		for {
-			select {
-			case <-stop:
-				return
-			case now := <-t.C:
-				r.sweep(now)
-			}
-		}
-	}()
-	return r, func() { close(stop); <-done }, nil
+	return r, mwtimer.Every(sweepPeriod, r.sweep), nil
 }
 
 const (
@@ -150,8 +136,8 @@
 				return s, false
 			}
 			s.finish(long, began.Sub(r.epoch))
-			s.end(h, m, began, now)
-			if h.Code == mwcode.OK || m.Cancelled {
+			s.end(h, m, long, began, now)
+			if !long && (h.Code == mwcode.OK || m.Cancelled) {
 				s.judge(m, n, began, now)
 			}
 			s.used = now
@@ -171,7 +157,7 @@
 // sweep forgets what was not used for idleFor.
 func (r *Router[S]) sweep(now time.Time) {
 	r.states.DeleteFunc(func(_ targetKey, s state) bool {
-		return s.inFlight == 0 && now.Sub(s.used) >= idleFor
+		return s.inFlight+s.longInFlight == 0 && now.Sub(s.used) >= idleFor
 	})
 	r.views.DeleteFunc(func(s mwid.ServiceName, v *view) bool {
 		idle := now.Sub(v.made) >= idleFor
--- a/mwlib/mwroute/state.go
+++ b/mwlib/mwroute/state.go
@@ -19,8 +19,11 @@
 
 // state is what this node saw of one target.
 type state struct {
-	inFlight mwunit.Slots
-	waiting  waiting
+	// inFlight counts the calls to the answer's head; long work by itself, as
+	// it has a lane of its own at the target.
+	inFlight     mwunit.Slots
+	longInFlight mwunit.Slots
+	waiting      waiting
 	// latency is the peak-sensitive moving average of the time to the
 	// answer's head: it jumps up to a slower answer and decays to faster
 	// ones.
@@ -130,18 +133,28 @@
 
 // begin notes a call that begins at since, the time since epoch.
 func (s *state) begin(long bool, since time.Duration) {
-	s.inFlight++
-	if !long {
-		s.waiting.add(since)
+	if long {
+		s.longInFlight++
+		return
 	}
+	s.inFlight++
+	s.waiting.add(since)
 }
 
 // finish takes back what begin noted.
 func (s *state) finish(long bool, since time.Duration) {
-	s.inFlight--
-	if !long {
-		s.waiting.remove(since)
+	if long {
+		s.longInFlight--
+		return
 	}
+	s.inFlight--
+	s.waiting.remove(since)
+}
+
+// loadOfLong returns what a Score judges a target with slots by for long work:
+// its lane alone, as nothing is learnt of how long long work takes.
+func (s *state) loadOfLong(slots mwunit.Slots, typical time.Duration) Load {
+	return Load{InFlight: s.longInFlight, Slots: slots, Latency: typical}
 }
 
 // load returns what a Score judges a target with slots by.
@@ -152,17 +165,22 @@
 	}
 }
 
-// end learns from one finished attempt.
-func (s *state) end(h mwcall.Head, m mwcall.Sample, began, now time.Time) {
+// end learns from one finished attempt. The time of long work, which may have
+// waited for its lane, says nothing of the target.
+func (s *state) end(h mwcall.Head, m mwcall.Sample, long bool, began, now time.Time) {
 	if m.Cancelled && h.Code != mwcode.OK {
-		s.endCancelled(m, began, now)
+		if !long {
+			s.endCancelled(m, began, now)
+		}
 		return
 	}
 	s.learnThreshold(h, now)
 	switch code := h.Code; {
 	case code == mwcode.OK:
 		s.failures, s.downUntil = 0, time.Time{}
-		s.learnLatency(m.First, began, now)
+		if !long {
+			s.learnLatency(m.First, began, now)
+		}
 	case code == mwcode.ConnectFailed, code == mwcode.ConnectionLost, code == mwcode.Silent:
 		s.failures++
 		s.downUntil = now.Add(backoff(s.failures, downFirst, downMax))
@@ -264,7 +282,7 @@
 // onTrial tells whether the target is to show by the call that it has that it
 // is well again.
 func (s *state) onTrial() bool {
-	return (s.trials > 0 || s.failures > 0) && s.inFlight > 0
+	return (s.trials > 0 || s.failures > 0) && s.inFlight+s.longInFlight > 0
 }
 
 // average returns the moving average with d, weighted by the time since the
