mwkernel: never refuse a repetition as if its key had not run

Cause: admission refuses an attempt before the ledger is asked, as NotRun. That is true of the attempt, but a caller that repeats an order after an unknown outcome asks about the order, which may have run. Ruled out: asking the ledger before admission, which would spend the table's writes on calls that are shed. Such a refusal is KeyUnproven (2008) now, an unknown outcome, unless the caller declares its first attempt; the new test fails before and passes after.

A hedge needs a request that is held whole: a large body that nothing was read from yet could have been read by both attempts.

--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -75,6 +75,9 @@
 	ClaimUnknown Code = 2006
 	// KeyReused tells that the key was used for another call before.
 	KeyReused Code = 2007
+	// KeyUnproven tells that this attempt did not run, while an earlier one
+	// of the same key may have.
+	KeyUnproven Code = 2008
 )
 
 // Codes of bad input.
--- a/mwlib/mwcode/table.go
+++ b/mwlib/mwcode/table.go
@@ -40,6 +40,7 @@
 	BackendUnavailable: {BackendUnavailable, "BackendUnavailable", "the backend server answered 503 without saying more; may have run"},
 	ClaimUnknown:       {ClaimUnknown, "ClaimUnknown", "the claim's write has no known outcome; may have run"},
 	KeyReused:          {KeyReused, "KeyReused", "the key belongs to another call"},
+	KeyUnproven:        {KeyUnproven, "KeyUnproven", "this attempt did not run, an earlier one of the key may have; ask again with the key"},
 	UnknownPlugin:      {UnknownPlugin, "UnknownPlugin", "no plug-in has the name"},
 	BadSetting:         {BadSetting, "BadSetting", "a setting is outside its bounds"},
 	BadDocument:        {BadDocument, "BadDocument", "a document can't be decoded"},
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -112,6 +112,9 @@
 // Resendable tells whether the request's body is still whole.
 func (e *exchange) Resendable() bool { return e.body.resendable() }
 
+// Held tells whether the request's body is kept whole.
+func (e *exchange) Held() bool { return e.body.held }
+
 // early passes an informational answer on, until the head of the answer is
 // out.
 func (e *exchange) early(code int, h textproto.MIMEHeader) error {
@@ -180,6 +183,8 @@
 		return http.StatusGatewayTimeout
 	case mwcode.Held, mwcode.KeyReused:
 		return http.StatusConflict
+	case mwcode.KeyUnproven:
+		return http.StatusServiceUnavailable
 	}
 	if c.OutcomeUnknown() {
 		return http.StatusBadGateway
--- a/mwlib/mwhttp/truth_test.go
+++ b/mwlib/mwhttp/truth_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	gonet "net"
 	"net/http"
 	"strings"
@@ -199,3 +200,31 @@
 	c.Assert(<-old, qt.Equals, "whole")
 	c.Assert(s.target.Drain(t.Context()), qt.IsNil)
 }
+
+// A refusal of a repetition says nothing of the attempts before it, unless
+// the caller declares that there were none.
+func TestRefusalOfARepetitionProvesNothing(t *testing.T) {
+	tests := []struct {
+		name    string
+		header  http.Header
+		code    mwcode.Code
+		outcome string
+	}{
+		{"no key", http.Header{}, mwcode.Draining, "NotRun"},
+		{"first with its key", http.Header{mwhttp.HeaderKey: {"k"}, mwhttp.HeaderFirst: {"1"}}, mwcode.Draining, "NotRun"},
+		{"maybe not the first", http.Header{mwhttp.HeaderKey: {"k"}}, mwcode.KeyUnproven, "OutcomeUnknown"},
+		{"repetition", http.Header{mwhttp.HeaderKey: {"k"}, mwhttp.HeaderResubmitted: {"1"}}, mwcode.KeyUnproven, "OutcomeUnknown"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newStack(t, http.NotFoundHandler())
+			c.Assert(s.target.Drain(t.Context()), qt.IsNil)
+			r := s.request(c, "POST", "/orders", strings.NewReader("order"))
+			maps.Copy(r.Header, test.header)
+			resp, _ := do(c, r)
+			c.Assert(code(resp), qt.Equals, want(test.code))
+			c.Assert(resp.Header.Get(mwhttp.HeaderOutcome), qt.Equals, test.outcome)
+		})
+	}
+}
--- a/mwlib/mwkernel/exchange.go
+++ b/mwlib/mwkernel/exchange.go
@@ -11,8 +11,9 @@
 type Exchange interface {
 	// Forward sends c, with the budget c.Budget, to the node of t and
 	// returns when the head of its answer is there. An error has a code that
-	// tells whether the call may have run. Forward may be called again, also
-	// while another one runs, where Resendable was true.
+	// tells whether the call may have run. Forward may be called again where
+	// Resendable is true, and while another one runs where Held is. The loser
+	// of two may return, and its answer be dropped, after the call is over.
 	Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (Answer, error)
 	// Deliver hands c to the backend server announced by a.
 	Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (Answer, error)
@@ -20,6 +21,8 @@
 	Replay(k mwcall.Kept) (Answer, error)
 	// Resendable tells whether the request is still whole.
 	Resendable() bool
+	// Held tells whether the request is kept whole, however often it is sent.
+	Held() bool
 	// Refuse answers the caller with err, whose code goes along, and h.
 	Refuse(err error, h mwcall.Head)
 }
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -134,6 +134,8 @@
 
 func (e *exchange) Resendable() bool { return e.resendable }
 
+func (e *exchange) Held() bool { return e.resendable }
+
 func (e *exchange) Refuse(err error, h mwcall.Head) {
 	e.answers.Add(1)
 	e.err, e.head = err, h
--- a/mwlib/mwkernel/point.go
+++ b/mwlib/mwkernel/point.go
@@ -101,7 +101,7 @@
 	Region    mwid.RegionName
 	Reachable bool
 	Nodes     int
-	// InForce counts the nodes known to be at Lowest or above.
+	// Lowest and Highest bound the versions known to be in force.
 	Lowest  mwid.Version
 	Highest mwid.Version
 	// Unheard are the nodes that were not heard lately.
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -161,9 +161,10 @@
 		r.k.accounts.Restore(r.c.Parent, r.balance)
 	}
 	if o.err != nil {
-		o.h.Code = mwcode.Of(o.err)
-		r.k.stat.refused(o.h.Code)
-		r.ex.Refuse(o.err, o.h)
+		r.k.stat.refused(mwcode.Of(o.err))
+		err := ofKey(r.c, o.err)
+		o.h.Code = mwcode.Of(err)
+		r.ex.Refuse(err, o.h)
 		return
 	}
 	if !o.h.Failed {
@@ -174,6 +175,17 @@
 	}
 }
 
+// ofKey returns what the caller of c is told for err. A refusal knows that
+// this attempt did not run, but of work with a key the caller asks whether the
+// key's work ran: an earlier attempt may have, unless the caller declares that
+// there was none.
+func ofKey(c *mwcall.Call, err error) error {
+	if c.Key == "" || c.First || c.Class.Repeatable || !mwcode.Of(err).NotRun() {
+		return err
+	}
+	return mwcode.New(mwcode.KeyUnproven, mwcode.Wrap(err))
+}
+
 // outcome is what one attempt came to: an answer or an error.
 type outcome struct {
 	ans Answer
@@ -193,7 +205,7 @@
 	if err != nil {
 		return outcome{h: mwcall.Head{Code: mwcode.Of(err)}, err: err, unsent: true}
 	}
-	if r.balance >= 1 && r.c.Class.Repeatable && r.ex.Resendable() {
+	if r.balance >= 1 && r.c.Class.Repeatable && r.ex.Held() {
 		if d, ok := r.k.retry.HedgeAfter(r.c); ok {
 			return r.hedged(ctx, t, d)
 		}
