mwadmit: compare the retired interface's overload with a calm run only

Two rows of TestRetiredOverloadDoesNotSpread ran the same load twice and compared the p99 of the one run with that of the other, so that they checked noise (95.7 against 93.8 ms once, which failed); what they are for, that the share is served, has a test of its own now. The row beside a busy rest had a bound of 1.1 where the target is 1.02.

--- a/mwlib/mwadmit/bounds_test.go
+++ b/mwlib/mwadmit/bounds_test.go
@@ -1,6 +1,7 @@
 package mwadmit_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,46 +33,55 @@
 	return run(t, l, seed)
 }
 
-func TestRetiredOverloadDoesNotSpread(t *testing.T) {
-	const floor, ceiling = 2, 3
-	share := float64(floor) * float64(time.Second/(20*time.Millisecond))
-	tests := []struct {
-		name string
-		busy float64
-		rate float64 // rate is the demand on the retired interface.
-		// least is the least part of rate that must be answered.
-		least float64
-		// slower bounds the p99 of the rest as a multiple of that with the
-		// retired interface at its share.
-		slower float64
-	}{
-		{name: "within its share, rest idle", busy: 0.5, rate: 0.7 * share, least: 0.99, slower: 1.02},
-		{name: "within its share, rest overloaded", busy: 2, rate: 0.7 * share, least: 0.99, slower: 1.02},
-		{name: "ten times its share", busy: 0.5, rate: 7 * share, least: 0.1 * 0.99, slower: 1.02},
-		{name: "ten times its share, rest busy", busy: 0.7, rate: 7 * share, least: 0.1 * 0.99, slower: 1.1},
-	}
-	for _, test := range tests {
-		t.Run(test.name, func(t *testing.T) {
-			c := qt.New(t)
-			old := rest(0)
-			old.rate, old.importance = steady(test.rate), orders
-			old.retired = mwconfig.Verdict{Retired: "retired", Floor: floor, Ceiling: ceiling}
-			normal := old
-			normal.rate = steady(0.7 * share)
+// Slots of the retired interface in the tests, and its share of calls a
+// second.
+const (
+	retiredFloor   = 2
+	retiredCeiling = 3
+	retiredShare   = float64(retiredFloor) * float64(time.Second/(20*time.Millisecond))
+)
+
+// retired is demand on the retired interface, rate calls a second.
+func retired(rate float64) demand {
+	d := rest(0)
+	d.rate, d.importance = steady(rate), orders
+	d.retired = mwconfig.Verdict{Retired: "retired", Floor: retiredFloor, Ceiling: retiredCeiling}
+	return d
+}
+
+func TestRetiredIsServedWithinItsShare(t *testing.T) {
+	for _, busy := range []float64{0.5, 2} {
+		t.Run(fmt.Sprintf("rest at %v", busy), func(t *testing.T) {
 			for seed := range seeds() {
-				alone := beside(t, mwadmit.AdaptiveName, test.busy, seed, normal)[0]
-				r := beside(t, mwadmit.AdaptiveName, test.busy, seed, old)
-				t.Logf("seed %d: rest %.4f, undisturbed %.4f; p99 %v, undisturbed %v; retired %.3f",
-					seed, r[0].ratio(0, seconds), alone.ratio(0, seconds),
-					r[0].quantile(0.99, 0, seconds), alone.quantile(0.99, 0, seconds), r[1].ratio(0, seconds))
-				c.Check(r[1].ratio(0, seconds) >= test.least, qt.IsTrue)
-				c.Check(r[0].ratio(0, seconds) >= 0.98*alone.ratio(0, seconds), qt.IsTrue)
-				c.Check(float64(r[0].quantile(0.99, 0, seconds)) <= test.slower*float64(alone.quantile(0.99, 0, seconds)), qt.IsTrue)
+				r := beside(t, mwadmit.AdaptiveName, busy, seed, retired(0.7*retiredShare))
+				t.Logf("seed %d: retired %.3f", seed, r[1].ratio(0, seconds))
+				qt.Check(t, r[1].ratio(0, seconds) >= 0.99, qt.IsTrue)
 			}
 		})
 	}
 }
 
+// spread runs ten times the retired interface's share beside the rest, and
+// checks the rest against a run in which the retired interface keeps to its
+// share.
+func spread(t *testing.T, busy float64) {
+	const most = 1.02 // most bounds the p99 of the rest.
+	for seed := range seeds() {
+		alone := beside(t, mwadmit.AdaptiveName, busy, seed, retired(0.7*retiredShare))[0]
+		r := beside(t, mwadmit.AdaptiveName, busy, seed, retired(7*retiredShare))
+		was, is := alone.quantile(0.99, 0, seconds), r[0].quantile(0.99, 0, seconds)
+		t.Logf("seed %d: rest %.4f, undisturbed %.4f; p99 %v, undisturbed %v; retired %.3f",
+			seed, r[0].ratio(0, seconds), alone.ratio(0, seconds), is, was, r[1].ratio(0, seconds))
+		qt.Check(t, r[1].ratio(0, seconds) >= 0.1*0.99, qt.IsTrue)
+		qt.Check(t, r[0].ratio(0, seconds) >= 0.98*alone.ratio(0, seconds), qt.IsTrue)
+		qt.Check(t, float64(is) <= most*float64(was), qt.IsTrue)
+	}
+}
+
+func TestRetiredOverloadDoesNotSpread(t *testing.T) { spread(t, 0.5) }
+
+func TestRetiredOverloadBesideABusyRest(t *testing.T) { spread(t, 0.7) }
+
 // TestFloodOfOneCallerSparesTheOthers has two callers of a retired interface,
 // one within the floor and one with ten times the floor.
 func TestFloodOfOneCallerSparesTheOthers(t *testing.T) {
