--- a/mwbench/internal/mwclient/client.go
+++ b/mwbench/internal/mwclient/client.go
@@ -16,6 +16,7 @@
 	"mustardwheel.example/mwlib/mwfakeserver"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -78,24 +79,13 @@
 		o.Tries++
 		var again bool
 		o.OK, o.Work, again = a.timed(ctx)
-		if o.OK || !again || !pause(ctx, q.Pause) {
+		if o.OK || !again || !mwtimer.Sleep(ctx, q.Pause) {
 			return o
 		}
 	}
 	return o
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // attempt is one try of one request.
 type attempt struct {
 	c  *Client
--- a/mwlib/mwclaim/acquire.go
+++ b/mwlib/mwclaim/acquire.go
@@ -78,15 +78,9 @@
 	if c.looks == len(answerPauses) {
 		return false
 	}
-	t := mwtimer.NewTimer(answerPauses[c.looks])
-	defer t.Stop()
+	pause := answerPauses[c.looks]
 	c.looks++
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return mwtimer.Sleep(ctx, pause)
 }
 
 // look reads the row.
--- a/mwlib/mwclaim/lane.go
+++ b/mwlib/mwclaim/lane.go
@@ -231,14 +231,7 @@
 const busyPause = 20 * time.Millisecond
 
 // rest waits for busyPause.
-func (l *lane) rest(ctx context.Context) {
-	t := mwtimer.NewTimer(busyPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
+func (l *lane) rest(ctx context.Context) { mwtimer.Sleep(ctx, busyPause) }
 
 // send runs one transaction of ps.
 func (l *lane) send(ctx context.Context, ps []*put) (mwstore.Receipt, error) {
--- a/mwlib/mwclaim/settle.go
+++ b/mwlib/mwclaim/settle.go
@@ -109,11 +109,7 @@
 		if paid {
 			pause = minSettlePause
 		}
-		t := mwtimer.NewTimer(pause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
+		if !mwtimer.Sleep(ctx, pause) {
 			return
 		}
 		pause = min(2*pause, maxSettlePause)
--- a/mwlib/mwfakestore/fault.go
+++ b/mwlib/mwfakestore/fault.go
@@ -196,15 +196,8 @@
 
 // wait waits for d, or until ctx is done, whose error it returns.
 func wait(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return nil
-	}
-	t := mwtimer.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if d > 0 && !mwtimer.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -152,12 +152,8 @@
 
 // wait waits for d, or until ctx is done, whose error it returns.
 func wait(ctx context.Context, d time.Duration) error {
-	t := mwtimer.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !mwtimer.Sleep(ctx, d) {
 		return context.Cause(ctx)
 	}
+	return nil
 }
--- a/mwlib/mwmemnet/network.go
+++ b/mwlib/mwmemnet/network.go
@@ -218,14 +218,10 @@
 		<-ctx.Done()
 		return gone
 	}
-	t := mwtimer.NewTimer(n.latency(p.place, to))
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !mwtimer.Sleep(ctx, n.latency(p.place, to)) {
 		return gone
 	}
+	return nil
 }
 
 func (n *Network) codecsOf(method, part string) *codecs {
--- a/mwlib/mwoperator/apply.go
+++ b/mwlib/mwoperator/apply.go
@@ -83,14 +83,10 @@
 // pause waits a random time that grows with the number of tries.
 func (c *change) pause(ctx context.Context, n int) error {
 	d := c.o.retryDelay * time.Duration(n+1)
-	t := mwtimer.NewTimer(rand.N(d) + 1)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !mwtimer.Sleep(ctx, rand.N(d)+1) {
 		return mwcode.New(mwcode.StoreAway, mwcode.Wrap(context.Cause(ctx)))
 	}
+	return nil
 }
 
 // lookUp returns what became of the operation; done is false where nothing
--- a/mwlib/mwroute/router.go
+++ b/mwlib/mwroute/router.go
@@ -45,7 +45,7 @@
 }
 
 func newRouter[S Score](env mwkernel.Env) (mwkernel.Router, mwregistry.Cleanup, error) {
-	if err := checkSettings(env.Settings.Route); err != nil {
+	if err := env.Settings.Route.Check(); err != nil {
 		return nil, nil, err
 	}
 	r := &Router[S]{
@@ -71,24 +71,6 @@
 	idleFor = time.Minute
 )
 
-func checkSettings(s mwsetting.Route) error {
-	switch {
-	case !(s.EjectRatio >= 0 && s.EjectRatio <= 1):
-		return badSetting("route.eject-ratio", "0 to 1")
-	case !(s.FarRatio >= 0 && s.FarRatio <= 1):
-		return badSetting("route.far-ratio", "0 to 1")
-	case !(s.SlowFactor >= 1):
-		return badSetting("route.slow-factor", "at least 1")
-	case s.Warmup < 0:
-		return badSetting("route.warmup", "at least 0s")
-	}
-	return nil
-}
-
-func badSetting(field, expected string) error {
-	return mwcode.New(mwcode.BadSetting, mwcode.Field(field), mwcode.Expected(expected))
-}
-
 func keyOf(t mwcall.Target) targetKey { return targetKey{t.Node, t.Service} }
 
 // Pick returns the target for c.
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -54,19 +54,69 @@
 	c.must(n.Place.Zone != "", "zone", "the name of an availability zone")
 	c.must(n.Place.Region != "", "region", "the name of a region")
 	c.listen(n.Listen)
-	if n.Store.Address != "" {
-		c.address(n.Store.Address, "store.address")
+	c.store(n.Store)
+	c.member(n.Member)
+	c.admit(n.Admit)
+	c.route(n.Route)
+	c.retry(n.Retry)
+	c.claim(n.Claim)
+	c.relay(n.Relay)
+	return errors.Join(c.errs...)
+}
+
+// Check returns every fault of r as Node.Check does.
+func (r Route) Check() error {
+	var c checker
+	c.route(r)
+	return errors.Join(c.errs...)
+}
+
+func (c *checker) store(s Store) {
+	if s.Address != "" {
+		c.address(s.Address, "store.address")
 	}
-	c.positive(n.Store.Timeout, "store.timeout")
-	for _, a := range n.Member.Join {
+	c.positive(s.Timeout, "store.timeout")
+	c.must(s.Reads > 0, "store.reads", "a rate above 0")
+	c.must(s.Writes > 0, "store.writes", "a rate above 0")
+}
+
+func (c *checker) member(m Member) {
+	for _, a := range m.Join {
 		c.address(a, "member.join")
 	}
-	c.positive(n.Member.Period, "member.period")
-	c.must(n.Admit.Queue >= 0, "admit.queue", "at least 0")
-	c.ratio(n.Route.EjectRatio, "route.eject-ratio")
-	c.ratio(n.Retry.TokenRatio, "retry.token-ratio")
-	c.relay(n.Relay)
-	return errors.Join(c.errs...)
+	c.positive(m.Period, "member.period")
+	c.must(m.Rate > 0, "member.rate", "bytes a second above 0")
+}
+
+func (c *checker) admit(a Admit) {
+	c.must(a.Queue >= 0, "admit.queue", "at least 0")
+	c.positive(a.Wait, "admit.wait")
+	c.ratio(a.MediumShare, "admit.medium-share")
+	c.ratio(a.LongShare, "admit.long-share")
+	c.must(a.LongShare <= a.MediumShare, "admit.long-share", "not above --admit.medium-share")
+	c.positive(a.MediumAfter, "admit.medium-after")
+	c.must(a.LongAfter >= a.MediumAfter, "admit.long-after", "not below --admit.medium-after")
+}
+
+func (c *checker) route(r Route) {
+	c.ratio(r.EjectRatio, "route.eject-ratio")
+	c.ratio(r.FarRatio, "route.far-ratio")
+	c.must(r.SlowFactor >= 1, "route.slow-factor", "at least 1")
+	c.must(r.Warmup >= 0, "route.warmup", "at least 0s")
+}
+
+func (c *checker) retry(r Retry) {
+	c.ratio(r.TokenRatio, "retry.token-ratio")
+	c.must(r.TokenReserve >= 0, "retry.token-reserve", "at least 0")
+	c.must(r.CallerReserve >= 0, "retry.caller-reserve", "at least 0")
+}
+
+func (c *checker) claim(s Claim) {
+	c.positive(s.Window, "claim.window")
+	c.must(s.Batch >= 1, "claim.batch", "at least 1")
+	c.must(s.Lanes >= 1, "claim.lanes", "at least 1")
+	c.must(s.Writers >= 0, "claim.writers", "at least 0")
+	c.must(s.Inline >= 0, "claim.inline", "at least 0 bytes")
 }
 
 func (c *checker) listen(l Listen) {
--- a/mwlib/mwslope/run.go
+++ b/mwlib/mwslope/run.go
@@ -195,14 +195,10 @@
 
 // pause waits for d.
 func pause(ctx context.Context, d time.Duration) error {
-	t := mwtimer.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !mwtimer.Sleep(ctx, d) {
 		return context.Cause(ctx)
 	}
+	return nil
 }
 
 // until waits until ok holds at all nodes.
--- a/mwlib/mwstoreclient/breaker.go
+++ b/mwlib/mwstoreclient/breaker.go
@@ -119,12 +119,8 @@
 
 // pause waits for d, or until ctx is done, whose error it returns.
 func pause(ctx context.Context, d time.Duration) error {
-	t := mwtimer.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
+	if !mwtimer.Sleep(ctx, d) {
 		return ctx.Err()
 	}
+	return nil
 }
