--- a/mwctl/main.go
+++ b/mwctl/main.go
@@ -12,10 +12,10 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"mustardwheel.example/mwlib/mwbuild"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwstore"
 	"mustardwheel.example/mwlib/mwstorehttp"
-	"mustardwheel.example/mwlib/mwversioninfo"
 )
 
 // Exit codes; docs/OPERATIONS.md has the table.
@@ -83,7 +83,7 @@
 	}
 	_, err := p.ParseArgs(args)
 	if g.Version {
-		fmt.Fprintln(out, mwversioninfo.String())
+		fmt.Fprintln(out, mwbuild.String())
 		return exitOK
 	}
 	if help, ok := errors.AsType[*flags.Error](err); ok && help.Type == flags.ErrHelp {
--- a/mwlib/mwversioninfo/version.go
+++ b/mwlib/mwbuild/version.go
@@ -1,5 +1,5 @@
-// Package mwversioninfo tells which build of the programs this is.
-package mwversioninfo
+// Package mwbuild tells which build of the programs this is.
+package mwbuild
 
 import "runtime/debug"
 
--- a/mwlib/mwhttp/pool.go
+++ b/mwlib/mwhttp/pool.go
@@ -32,51 +32,51 @@
 // pool keeps one http.Transport for each address, so that the connections to
 // one address can be dropped without touching others.
 type pool struct {
-	m *mwshard.Map[mwid.Address, *lane]
+	m *mwshard.Map[mwid.Address, *pooled]
 }
 
-// lane is the transport to one address.
-type lane struct {
+// pooled is the transport to one address.
+type pooled struct {
 	t    *http.Transport
 	used atomic.Int64 // used is when it was last taken, in Unix seconds.
 }
 
 func newPool() *pool {
-	return &pool{m: mwshard.New[mwid.Address, *lane](mwshard.DefaultShards)}
+	return &pool{m: mwshard.New[mwid.Address, *pooled](mwshard.DefaultShards)}
 }
 
 // get returns the transport to addr, with at most conns connections where
 // conns is above 0.
 func (p *pool) get(addr mwid.Address, conns mwunit.Connections) *http.Transport {
-	l := p.m.GetOrSet(addr, func() *lane { return &lane{t: newTransport(conns)} })
-	l.used.Store(time.Now().Unix())
-	return l.t
+	e := p.m.GetOrSet(addr, func() *pooled { return &pooled{t: newTransport(conns)} })
+	e.used.Store(time.Now().Unix())
+	return e.t
 }
 
 // dropIdle closes the idle connections to addr. It is called when a
 // connection went silent: the idle ones may be as dead, and the next call
 // opens a new one.
 func (p *pool) dropIdle(addr mwid.Address) {
-	if l, ok := p.m.Get(addr); ok {
-		l.t.CloseIdleConnections()
+	if e, ok := p.m.Get(addr); ok {
+		e.t.CloseIdleConnections()
 	}
 }
 
 // sweep forgets transports without a call for a long time.
 func (p *pool) sweep(now time.Time) {
 	oldest := now.Add(-unusedTransport).Unix()
-	p.m.DeleteFunc(func(_ mwid.Address, l *lane) bool {
-		if l.used.Load() > oldest {
+	p.m.DeleteFunc(func(_ mwid.Address, e *pooled) bool {
+		if e.used.Load() > oldest {
 			return false
 		}
-		go l.t.CloseIdleConnections()
+		go e.t.CloseIdleConnections()
 		return true
 	})
 }
 
 func (p *pool) close() {
-	p.m.Range(func(_ mwid.Address, l *lane) bool {
-		l.t.CloseIdleConnections()
+	p.m.Range(func(_ mwid.Address, e *pooled) bool {
+		e.t.CloseIdleConnections()
 		return true
 	})
 }
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -13,11 +13,11 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"mustardwheel.example/mwlib/mwbuild"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwhost"
 	"mustardwheel.example/mwlib/mwsetting"
 	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
-	"mustardwheel.example/mwlib/mwversioninfo"
 )
 
 // Exit codes.
@@ -46,7 +46,7 @@
 	}
 	_, err := p.ParseArgs(args)
 	if a.Version {
-		fmt.Println(mwversioninfo.String())
+		fmt.Println(mwbuild.String())
 		return exitOK
 	}
 	if help, ok := errors.AsType[*flags.Error](err); ok && help.Type == flags.ErrHelp {
@@ -86,7 +86,7 @@
 	}
 	defer end()
 	log.Info("started", "Node", h.Kernel().Self().Node, "Entry", h.Entry(), "Local", h.Local(),
-		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwversioninfo.String())
+		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwbuild.String())
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
