--- a/mwlib/mwkernel/hedge.go
+++ b/mwlib/mwkernel/hedge.go
@@ -31,17 +31,17 @@
 	return r.race(first, r.start(ctx, t))
 }
 
-// lane is one of two attempts that run at the same time.
-type lane struct {
+// attempt is one of two attempts that run at the same time.
+type attempt struct {
 	done chan outcome // done takes one outcome without a wait.
 	stop context.CancelFunc
 }
 
 // start starts an attempt at t. The call counts as in flight until the
 // attempt is over, also where its answer is not waited for.
-func (r *routing) start(ctx context.Context, t mwcall.Target) *lane {
+func (r *routing) start(ctx context.Context, t mwcall.Target) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &lane{done: make(chan outcome, 1), stop: cancel}
+	l := &attempt{done: make(chan outcome, 1), stop: cancel}
 	give := r.share()
 	r.k.life.enter()
 	go func() {
@@ -52,7 +52,7 @@
 }
 
 // settle takes the outcome of the only attempt left.
-func (r *routing) settle(l *lane, o outcome) outcome {
+func (r *routing) settle(l *attempt, o outcome) outcome {
 	r.balance += o.back
 	if o.err != nil {
 		l.stop()
@@ -65,7 +65,7 @@
 // race returns the first good outcome of two attempts, or else the last one.
 // What went down with the loser of a good one counts as used: nobody waits to
 // hear of it.
-func (r *routing) race(a, b *lane) outcome {
+func (r *routing) race(a, b *attempt) outcome {
 	var o outcome
 	select {
 	case o = <-a.done:
