--- a/mwlib/mwhost/host_test.go
+++ b/mwlib/mwhost/host_test.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -117,3 +118,17 @@
 	_, _, err := mwhost.New(set)
 	c.Assert(err, qt.ErrorMatches, `mwhost: .*address already in use`)
 }
+
+func TestOversizedHeaderIsRefused(t *testing.T) {
+	c := qt.New(t)
+	set := settings()
+	set.Relay.HeaderBytes = 4 << 10
+	h := run(c, set)
+	r, err := http.NewRequest(http.MethodGet, "http://"+string(h.Entry())+"/", nil)
+	c.Assert(err, qt.IsNil)
+	r.Header.Set("X-Large", strings.Repeat("x", 64<<10))
+	resp, err := http.DefaultClient.Do(r)
+	c.Assert(err, qt.IsNil)
+	defer resp.Body.Close()
+	c.Assert(resp.StatusCode, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
+}
