mwcode: report an error in one form

The admin listener, the local listener and refusals each had a struct of their own with the same fields and the same look for the error with a code. mwcode.Report serves all three; the messages stay as they were. The code Closed was never given and is gone; two test servers share their accept loop.

--- a/mwlib/mwadmin/api.go
+++ b/mwlib/mwadmin/api.go
@@ -1,5 +1,6 @@
 // Package mwadmin is how operators look at one node and tell it to drain: a
-// handler for the admin listener and a client for it. All bodies are JSON.
+// handler for the admin listener and a client for it. All bodies are JSON; that
+// of an answer which is not a success is a mwcode.Report.
 package mwadmin
 
 import (
@@ -75,11 +76,3 @@
 	// interface may use; 0 where the call is not one.
 	Share mwunit.Slots `json:",omitempty"`
 }
-
-// Failure is the body of every answer that is not a success.
-type Failure struct {
-	Code     mwcode.Code
-	Name     string
-	Field    string `json:",omitempty"`
-	Expected string `json:",omitempty"`
-}
--- a/mwlib/mwadmin/client.go
+++ b/mwlib/mwadmin/client.go
@@ -63,7 +63,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode >= http.StatusBadRequest {
-		var f Failure
+		var f mwcode.Report
 		if err := json.NewDecoder(resp.Body).Decode(&f); err != nil {
 			return v, mwcode.New(mwcode.Internal, mwcode.Wrap(err))
 		}
--- a/mwlib/mwadmin/handler.go
+++ b/mwlib/mwadmin/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"net/http"
 	"net/http/pprof"
 
@@ -132,12 +131,7 @@
 }
 
 func fail(w http.ResponseWriter, status int, err error) {
-	v := Failure{Code: mwcode.Of(err), Name: mwcode.Of(err).String()}
-	var e *mwcode.Error
-	if errors.As(err, &e) {
-		v.Field, v.Expected = e.Field, e.Expected
-	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	json.NewEncoder(w).Encode(v)
+	json.NewEncoder(w).Encode(mwcode.ReportOf(err))
 }
--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -124,8 +124,6 @@
 	StaleRead Code = 4007
 	// LeaseLost tells that a lease lapsed or was taken over.
 	LeaseLost Code = 4008
-	// Closed tells that the part has been shut down.
-	Closed Code = 4009
 	// Internal tells of a fault in the system itself.
 	Internal Code = 4010
 )
--- /dev/null
+++ b/mwlib/mwcode/report.go
@@ -0,0 +1,25 @@
+package mwcode
+
+import "errors"
+
+// Report is what a message says of an error. Outcome and Cause are for the
+// messages that have them; ReportOf leaves them empty.
+type Report struct {
+	Code     Code
+	Name     string
+	Outcome  string `json:",omitempty"`
+	Field    string `json:",omitempty"`
+	Expected string `json:",omitempty"`
+	Cause    string `json:",omitempty"`
+}
+
+// ReportOf returns the Report of err.
+func ReportOf(err error) Report {
+	c := Of(err)
+	r := Report{Code: c, Name: c.String()}
+	var e *Error
+	if errors.As(err, &e) {
+		r.Field, r.Expected = e.Field, e.Expected
+	}
+	return r
+}
--- a/mwlib/mwcode/table.go
+++ b/mwlib/mwcode/table.go
@@ -60,7 +60,6 @@
 	Unreachable:        {Unreachable, "Unreachable", "the node can't be heard"},
 	StaleRead:          {StaleRead, "StaleRead", "a source offered a version below the present one"},
 	LeaseLost:          {LeaseLost, "LeaseLost", "the lease lapsed or was taken over"},
-	Closed:             {Closed, "Closed", "the part has been shut down"},
 	Internal:           {Internal, "Internal", "a fault in the system itself"},
 }
 
--- a/mwlib/mwhttp/announce.go
+++ b/mwlib/mwhttp/announce.go
@@ -74,21 +74,10 @@
 	}
 }
 
-// failure is the JSON form of an error with a code.
-type failure struct {
-	Code     mwcode.Code
-	Name     string
-	Field    string `json:",omitempty"`
-	Expected string `json:",omitempty"`
-	Cause    string `json:",omitempty"`
-}
-
 // writeError answers with err in JSON.
 func writeError(w http.ResponseWriter, status int, err error) {
-	v := failure{Code: mwcode.Of(err), Name: mwcode.Of(err).String(), Cause: err.Error()}
-	if e := coded(err); e != nil {
-		v.Field, v.Expected = e.Field, e.Expected
-	}
+	v := mwcode.ReportOf(err)
+	v.Cause = err.Error()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	json.NewEncoder(w).Encode(v)
--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -174,10 +174,3 @@
 	}
 	return &answer{e: e, resp: resp}, nil
 }
-
-// coded returns the error with a code in err, or nil.
-func coded(err error) *mwcode.Error {
-	var e *mwcode.Error
-	errors.As(err, &e)
-	return e
-}
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -143,15 +143,6 @@
 	return ok
 }
 
-// refusal is the body of a refusal, in JSON.
-type refusal struct {
-	Code     mwcode.Code
-	Name     string
-	Outcome  string
-	Field    string `json:",omitempty"`
-	Expected string `json:",omitempty"`
-}
-
 // Refuse answers with err.
 func (e *exchange) Refuse(err error, h mwcall.Head) {
 	if !e.commit() {
@@ -165,10 +156,8 @@
 	encodeHead(w.Header(), h, between)
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status(h.Code))
-	v := refusal{Code: h.Code, Name: h.Code.String(), Outcome: outcome(h.Code)}
-	if e := coded(err); e != nil {
-		v.Field, v.Expected = e.Field, e.Expected
-	}
+	v := mwcode.ReportOf(err)
+	v.Outcome = outcome(v.Code)
 	json.NewEncoder(w).Encode(v)
 }
 
--- a/mwlib/mwhttp/silent_test.go
+++ b/mwlib/mwhttp/silent_test.go
@@ -28,19 +28,8 @@
 }
 
 func newWire(c *qt.C, to string) *wire {
-	ln, err := gonet.Listen("tcp", "127.0.0.1:0")
-	c.Assert(err, qt.IsNil)
-	w := &wire{ln: ln, to: to, silent: make(map[gonet.Conn]chan struct{})}
-	c.Cleanup(func() { ln.Close() })
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go w.carry(conn)
-		}
-	}()
+	w := &wire{to: to, silent: make(map[gonet.Conn]chan struct{})}
+	w.ln = accept(c, w.carry)
 	return w
 }
 
--- a/mwlib/mwhttp/truth_test.go
+++ b/mwlib/mwhttp/truth_test.go
@@ -91,9 +91,16 @@
 }
 
 func newCloser(c *qt.C) *closer {
+	b := &closer{}
+	b.ln = accept(c, b.serve)
+	return b
+}
+
+// accept listens on loopback and serves each connection in a goroutine until
+// the test ends.
+func accept(c *qt.C, serve func(gonet.Conn)) gonet.Listener {
 	ln, err := gonet.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
-	b := &closer{ln: ln}
 	c.Cleanup(func() { ln.Close() })
 	go func() {
 		for {
@@ -101,10 +108,10 @@
 			if err != nil {
 				return
 			}
-			go b.serve(conn)
+			go serve(conn)
 		}
 	}()
-	return b
+	return ln
 }
 
 func (b *closer) serve(conn gonet.Conn) {
