--- a/mwlib/mwcall/call.go
+++ b/mwlib/mwcall/call.go
@@ -26,6 +26,8 @@
 // Call is one call at one node. The front end fills it; the kernel fills
 // Class. Only the goroutine that serves the call changes it.
 type Call struct {
+	// ID is the caller's own id of the request, empty where it has none.
+	ID      mwid.RequestID
 	Root    mwid.RootID
 	Attempt mwid.AttemptID // Attempt is new at each node that routes the call.
 	Parent  mwid.AttemptID // Parent is the attempt whose backend server made this call.
@@ -33,7 +35,9 @@
 	Service mwid.ServiceName
 	Method  string
 	Path    string
-	Key     mwid.CallKey
+	// Host is the host that the request names; with Path it finds the route.
+	Host string
+	Key  mwid.CallKey
 	// First tells that the caller declares the call as its first with Key.
 	First bool
 	// Resubmitted tells that the caller declares the call as a repetition.
@@ -51,6 +55,9 @@
 	// Deadline is the instant on this node's clock at which the call's time
 	// runs out; zero where the call came without one.
 	Deadline time.Time
+	// Patience is the instant up to which the caller itself waits, which may
+	// be after Deadline; zero where that is not known.
+	Patience time.Time
 	Class    Class
 }
 
@@ -73,5 +80,5 @@
 
 // Request returns what selectors see of c.
 func (c *Call) Request() mwconfig.Request {
-	return mwconfig.Request{Caller: c.Caller, Service: c.Service, Method: c.Method, Path: c.Path}
+	return mwconfig.Request{Caller: c.Caller, Service: c.Service, Method: c.Method, Path: c.Path, Host: c.Host}
 }
--- a/mwlib/mwcall/target.go
+++ b/mwlib/mwcall/target.go
@@ -40,8 +40,15 @@
 
 // Announcement is what a backend server tells its own node of itself.
 type Announcement struct {
-	Service     mwid.ServiceName
-	Address     mwid.Address // Address is on the loopback interface.
+	Service mwid.ServiceName
+	Address mwid.Address // Address is one that only this VM can reach.
+	// Instance is the backend server's own id of this start, empty where it
+	// has none.
+	Instance mwid.InstanceID
+	// Started and Seq order the announcements of one Instance; both are zero
+	// where they are not ordered.
+	Started     time.Time
+	Seq         uint64
 	Slots       mwunit.Slots
 	Connections mwunit.Connections
 	Labels      mwlabel.Set
--- /dev/null
+++ b/mwlib/mwclaim/none.go
@@ -0,0 +1,29 @@
+package mwclaim
+
+import (
+	"context"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+)
+
+// NoneName is the name of the ledger that keeps no claims.
+const NoneName mwregistry.Name = "none"
+
+func init() {
+	mwkernel.Ledgers.Register(NoneName, func(mwkernel.Env) (mwkernel.Ledger, mwregistry.Cleanup, error) {
+		return None{}, nil, nil
+	})
+}
+
+// None is a ledger for platforms whose callers have no keys: there, work that
+// must not repeat runs once at the most since it is sent once, and again only
+// where it is proved not to have run. It refuses calls with a key.
+type None struct{}
+
+// Claim refuses c.
+func (None) Claim(context.Context, *mwcall.Call) (mwkernel.Claim, error) {
+	return nil, mwcode.New(mwcode.ClaimsAway)
+}
--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -56,6 +56,12 @@
 	NoConfiguration Code = 1017
 	// CallerLimit tells that the caller is over its own share.
 	CallerLimit Code = 1018
+	// NoRoute tells that no route of the configuration fits the call.
+	NoRoute Code = 1019
+	// BodyTooLarge tells that the call's body is above the limit.
+	BodyTooLarge Code = 1020
+	// HeaderTooLarge tells that the call's header is above the limit.
+	HeaderTooLarge Code = 1021
 )
 
 // Codes of unknown outcomes: the call may have run.
--- a/mwlib/mwconfig/decode.go
+++ b/mwlib/mwconfig/decode.go
@@ -35,8 +35,8 @@
 	}
 }
 
-// spec is the decoded Spec of a Document: *CallerLabel, *RequestLabel,
-// *ServerLabel, *Selector or *Policy.
+// spec is the decoded Spec of a Document: a pointer to the type that has the
+// name of its Kind.
 type spec interface{ check() []problem }
 
 // newSpec returns an empty spec of kind k, or nil.
@@ -52,6 +52,12 @@
 		return &Selector{}
 	case KindPolicy:
 		return &Policy{}
+	case KindRoute:
+		return &Route{}
+	case KindService:
+		return &Service{}
+	case KindCallerLimits:
+		return &CallerLimits{}
 	}
 	return nil
 }
--- a/mwlib/mwconfig/document.go
+++ b/mwlib/mwconfig/document.go
@@ -26,11 +26,20 @@
 	KindSelector Kind = "Selector"
 	// KindPolicy says how selected calls are treated.
 	KindPolicy Kind = "Policy"
+	// KindRoute sends requests to services.
+	KindRoute Kind = "Route"
+	// KindService describes the backend servers of a service.
+	KindService Kind = "Service"
+	// KindCallerLimits bounds what callers may send.
+	KindCallerLimits Kind = "CallerLimits"
 )
 
 // Kinds returns every Kind.
 func Kinds() []Kind {
-	return []Kind{KindCallerLabel, KindRequestLabel, KindServerLabel, KindSelector, KindPolicy}
+	return []Kind{
+		KindCallerLabel, KindRequestLabel, KindServerLabel, KindSelector, KindPolicy,
+		KindRoute, KindService, KindCallerLimits,
+	}
 }
 
 // DocumentName is the name of a document, unique within its Kind.
--- /dev/null
+++ b/mwlib/mwconfig/route.go
@@ -0,0 +1,193 @@
+package mwconfig
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// Route sends the requests of one host whose path starts with PathPrefix to
+// services. Of several routes of a host, the one with the longest prefix
+// counts. What a route says of a request holds unless a policy says
+// otherwise.
+type Route struct {
+	Host       string
+	PathPrefix string
+	// Split shares the requests among services by weight.
+	Split      []Share
+	Importance mwunit.Importance
+	Repeatable bool   `json:",omitempty"`
+	Length     Length `json:",omitempty"`
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout Duration `json:",omitempty"`
+	// Objective is the time within which an answer has its full use.
+	Objective Duration `json:",omitempty"`
+	// Targets is the greatest number of targets that one call is sent to; 0
+	// leaves the number of retries to policies.
+	Targets mwunit.Attempts `json:",omitempty"`
+}
+
+// Share is a service with its weight among those of a Route.
+type Share struct {
+	Service mwid.ServiceName
+	Weight  Weight
+}
+
+// Weight is a share relative to the other shares of a Route.
+type Weight float64
+
+// Service describes the backend servers of one service, whose name is that
+// of the document.
+type Service struct {
+	// Connections is how many connections a backend server takes from all
+	// callers together; 0 leaves it to the announcement.
+	Connections mwunit.Connections `json:",omitempty"`
+	// HealthPath is the path at which a backend server tells its health.
+	HealthPath string `json:",omitempty"`
+}
+
+// CallerLimits bounds what callers may send and how long they may take.
+type CallerLimits struct {
+	HeaderBytes   mwunit.Bytes `json:",omitempty"`
+	BodyBytes     mwunit.Bytes `json:",omitempty"`
+	HeaderTimeout Duration     `json:",omitempty"`
+	IdleTimeout   Duration     `json:",omitempty"`
+}
+
+func (r *Route) check() []problem {
+	var ps []problem
+	if r.Host == "" {
+		ps = append(ps, bad("Host", "the name of a host"))
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") {
+		ps = append(ps, bad("PathPrefix", `a path that starts with "/"`))
+	}
+	if r.Importance < 0 || r.Importance > mwunit.MaxImportance {
+		ps = append(ps, bad("Importance", fmt.Sprintf("0 to %d", mwunit.MaxImportance)))
+	}
+	if r.Timeout < 0 || r.Objective < 0 {
+		ps = append(ps, bad("Timeout", "durations of at least 0s"))
+	}
+	if r.Targets < 0 || r.Targets > MaxRetries {
+		ps = append(ps, bad("Targets", fmt.Sprintf("0 to %d", MaxRetries)))
+	}
+	return append(ps, r.checkSplit()...)
+}
+
+func (r *Route) checkSplit() []problem {
+	var total Weight
+	for i, s := range r.Split {
+		if s.Service == "" || s.Weight < 0 {
+			return []problem{bad(fmt.Sprintf("Split[%d]", i), "a service and a weight of at least 0")}
+		}
+		total += s.Weight
+	}
+	if total <= 0 {
+		return []problem{bad("Split", "at least one service with a weight above 0")}
+	}
+	return nil
+}
+
+func (s *Service) check() []problem {
+	if s.Connections < 0 {
+		return []problem{bad("Connections", "at least 0")}
+	}
+	return nil
+}
+
+func (l *CallerLimits) check() []problem {
+	if l.HeaderBytes < 0 || l.BodyBytes < 0 || l.HeaderTimeout < 0 || l.IdleTimeout < 0 {
+		return []problem{bad("HeaderBytes", "limits of at least 0")}
+	}
+	return nil
+}
+
+// namedRoute is a Route with the name of its document.
+type namedRoute struct {
+	Route
+	name DocumentName
+}
+
+// routes holds the routes of each host, the longest prefix first.
+type routes map[string][]namedRoute
+
+func (rs routes) add(n DocumentName, r Route) {
+	rs[r.Host] = append(rs[r.Host], namedRoute{r, n})
+}
+
+// sort orders the routes of each host; equal prefixes go by name.
+func (rs routes) sort() {
+	for _, of := range rs {
+		slices.SortFunc(of, func(a, b namedRoute) int {
+			return cmp.Or(cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)), cmp.Compare(a.name, b.name))
+		})
+	}
+}
+
+// find returns the route of a request, or nil.
+func (rs routes) find(host, path string) *namedRoute {
+	of := rs[host]
+	for i := range of {
+		if strings.HasPrefix(path, of[i].PathPrefix) {
+			return &of[i]
+		}
+	}
+	return nil
+}
+
+// RouteOf returns the route of a request by its host and path; ok is false
+// where there is none. The caller must not change what it returns.
+func (s *Snapshot) RouteOf(host, path string) (r *Route, ok bool) {
+	f := s.routes.find(host, path)
+	if f == nil {
+		return nil, false
+	}
+	return &f.Route, true
+}
+
+// Pick returns the service at point x of r's split, where x is from 0 to
+// below 1 and all services together fill that range.
+func (r *Route) Pick(x float64) mwid.ServiceName {
+	var total Weight
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	left := Weight(x) * total
+	last := r.Split[0].Service
+	for _, s := range r.Split {
+		if s.Weight == 0 {
+			continue
+		}
+		last = s.Service
+		if left < s.Weight {
+			break
+		}
+		left -= s.Weight
+	}
+	return last
+}
+
+// ServiceOf returns what is said of service n; nothing is known of a service
+// without a document.
+func (s *Snapshot) ServiceOf(n mwid.ServiceName) Service { return s.services[n] }
+
+// CallerLimits returns the limits of callers; a limit of 0 is not set.
+func (s *Snapshot) CallerLimits() CallerLimits { return s.limits }
+
+// apply puts what r says into v, before the policies.
+func (r *namedRoute) apply(v *Verdict) {
+	v.Route, v.Importance, v.Repeatable = r.name, r.Importance, r.Repeatable
+	v.Length = cmp.Or(r.Length, v.Length)
+	v.Timeout, v.Objective = time.Duration(r.Timeout), time.Duration(r.Objective)
+	if r.Timeout > 0 {
+		v.Deadline = v.Timeout
+	}
+	if r.Targets > 0 {
+		v.Retries, v.MaxTargets = r.Targets-1, r.Targets
+	}
+}
--- a/mwlib/mwconfig/snapshot.go
+++ b/mwlib/mwconfig/snapshot.go
@@ -24,6 +24,9 @@
 	requests []RequestLabel
 	servers  []ServerLabel
 	policies []policy
+	routes   routes
+	services map[mwid.ServiceName]Service
+	limits   CallerLimits
 }
 
 // policy is a Policy with its selectors resolved.
@@ -41,6 +44,8 @@
 	Service mwid.ServiceName
 	Method  string
 	Path    string
+	// Host is set where the request came by a Route.
+	Host string
 }
 
 // Server is what selectors see of one backend server.
@@ -62,7 +67,17 @@
 	Retries     mwunit.Attempts
 	Deadline    time.Duration
 	CallerRatio mwunit.Ratio
-	Matched     []DocumentName // Matched names the policies that applied, strongest first.
+	Route       DocumentName // Route is the name of the request's route, empty where it has none.
+	// Timeout is the longest time that the caller is kept waiting; 0 sets no
+	// bound beside the call's deadline.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full use; 0 where
+	// nothing is said.
+	Objective time.Duration
+	// MaxTargets is the greatest number of targets that the call is sent to;
+	// 0 leaves that to Retries.
+	MaxTargets mwunit.Attempts
+	Matched    []DocumentName // Matched names the policies that applied, strongest first.
 }
 
 // Defaults of a call that no policy speaks of. A call is taken for work that
@@ -76,7 +91,10 @@
 
 // Compile checks docs together and returns their Snapshot at version v.
 func Compile(v mwid.Version, docs []Document) (*Snapshot, error) {
-	s := &Snapshot{version: v, docs: slices.Clone(docs), callers: make(map[mwid.CallerName]mwlabel.Set)}
+	s := &Snapshot{
+		version: v, docs: slices.Clone(docs), callers: make(map[mwid.CallerName]mwlabel.Set),
+		routes: make(routes), services: make(map[mwid.ServiceName]Service),
+	}
 	slices.SortFunc(s.docs, compareDocuments)
 	specs, err := decodeAll(s.docs)
 	if err != nil {
@@ -87,6 +105,7 @@
 	for i, d := range s.docs {
 		errs = append(errs, s.add(d, specs[i], res))
 	}
+	s.routes.sort()
 	slices.SortStableFunc(s.policies, func(a, b policy) int { return b.Rank - a.Rank })
 	return s, errors.Join(errs...)
 }
@@ -129,6 +148,12 @@
 		return err
 	case *Policy:
 		return s.addPolicy(d, t, res)
+	case *Route:
+		s.routes.add(d.Name, *t)
+	case *Service:
+		s.services[mwid.ServiceName(d.Name)] = *t
+	case *CallerLimits:
+		s.limits = *t
 	}
 	return nil
 }
@@ -195,6 +220,9 @@
 		Importance: DefaultImportance, Length: Short, Retries: DefaultRetries,
 		Deadline: DefaultDeadline, CallerRatio: DefaultCallerRatio,
 	}}
+	if rt := s.routes.find(r.Host, r.Path); rt != nil {
+		rt.apply(&j.Verdict)
+	}
 	for i := range s.policies {
 		p := &s.policies[i]
 		if p.callers.matches(cl) && p.requests.matches(rl) && p.servers.matches(sl) {
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -10,6 +10,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -47,8 +48,9 @@
 	peers   *mwrpc.Peers
 	drained chan struct{} // drained gets a value when an operator drains.
 
-	entry, local, peer, admin *listener
-	group                     errgroup.Group
+	entry, local, peer, admin, control, ready *listener
+
+	group errgroup.Group
 }
 
 // listener is one listener with its server.
@@ -57,7 +59,13 @@
 	server *http.Server
 }
 
-func (l *listener) addr() mwid.Address { return mwid.Address(l.Addr().String()) }
+// addr returns the address of l, empty where l is not open.
+func (l *listener) addr() mwid.Address {
+	if l == nil {
+		return ""
+	}
+	return mwid.Address(l.Addr().String())
+}
 
 // options are what New takes beside the settings.
 type options struct {
@@ -93,12 +101,22 @@
 		return nil, nil, err
 	}
 	h.kernel = k
+	d, endDialect, err := mwhttp.Dialects.Make(h.set.Plugins.Dialect, k.Env())
+	if err != nil {
+		endKernel()
+		endPeers()
+		h.closeListeners()
+		return nil, nil, err
+	}
 	var endFront func()
-	h.front, endFront = mwhttp.New(k, h.set.Relay)
-	h.serve()
+	h.front, endFront = mwhttp.New(k, h.set.Relay, mwhttp.WithDialect(d))
+	h.serve(d)
 	return h, func() {
 		h.closeServers()
 		endFront()
+		if endDialect != nil {
+			endDialect()
+		}
 		endKernel()
 		endPeers()
 		h.group.Wait()
@@ -122,7 +140,13 @@
 	for _, x := range []struct {
 		to   **listener
 		addr *mwid.Address
-	}{{&h.entry, &l.Entry}, {&h.local, &l.Local}, {&h.peer, &l.Peer}, {&h.admin, &l.Admin}} {
+	}{
+		{&h.entry, &l.Entry}, {&h.local, &l.Local}, {&h.peer, &l.Peer}, {&h.admin, &l.Admin},
+		{&h.control, &l.Control}, {&h.ready, &l.Ready},
+	} {
+		if *x.addr == "" {
+			continue
+		}
 		ln, err := net.Listen("tcp", string(*x.addr))
 		if err != nil {
 			return fmt.Errorf("mwhost: %w", err)
@@ -147,10 +171,13 @@
 }
 
 // serve starts the servers.
-func (h *Host) serve() {
+func (h *Host) serve(d mwhttp.Dialect) {
 	peer := h.closing(h.front.Peer())
 	h.start(h.entry, h.closing(h.front.Entry()))
 	h.start(h.local, h.front.Local())
+	control := d.Control(h.kernel)
+	h.start(h.control, control)
+	h.start(h.ready, control)
 	h.start(h.peer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			h.peers.ServeHTTP(w, r)
@@ -161,7 +188,11 @@
 	h.start(h.admin, mwadmin.NewHandler(h.kernel, h.metrics, h.requestDrain, h.set.Listen.Pprof))
 }
 
+// start serves l, which may be nil.
 func (h *Host) start(l *listener, handler http.Handler) {
+	if l == nil {
+		return
+	}
 	l.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: int(h.set.Relay.HeaderBytes),
@@ -206,7 +237,10 @@
 	case <-ctx.Done():
 	}
 	var g errgroup.Group
-	for _, l := range []*listener{h.entry, h.local, h.peer} {
+	for _, l := range h.listeners() {
+		if l == h.admin || l == h.ready {
+			continue
+		}
 		g.Go(func() error { return l.server.Shutdown(ctx) })
 	}
 	return g.Wait()
@@ -222,17 +256,21 @@
 	})
 }
 
+// listeners returns those that are open.
+func (h *Host) listeners() []*listener {
+	all := []*listener{h.entry, h.local, h.peer, h.admin, h.control, h.ready}
+	return slices.DeleteFunc(all, func(l *listener) bool { return l == nil })
+}
+
 func (h *Host) closeServers() {
-	for _, l := range []*listener{h.entry, h.local, h.peer, h.admin} {
+	for _, l := range h.listeners() {
 		l.server.Close()
 	}
 }
 
 func (h *Host) closeListeners() {
-	for _, l := range []*listener{h.entry, h.local, h.peer, h.admin} {
-		if l != nil {
-			l.Close()
-		}
+	for _, l := range h.listeners() {
+		l.Close()
 	}
 }
 
--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -2,11 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"maps"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -32,6 +34,8 @@
 	keep   bool         // keep tells that the body is recorded.
 	record bytes.Buffer // record has the body while it is within keptLimit.
 	whole  bool
+	// gathered tells that the whole body is held here.
+	gathered bool
 }
 
 var _ mwkernel.Answer = (*answer)(nil)
@@ -43,6 +47,54 @@
 // read to its end.
 func (a *answer) Drop() { a.resp.Body.Close() }
 
+// gatherLimit is the largest body in bytes that is read whole before its head
+// goes out. An answer that breaks off before its end is then no answer, and
+// the call can be tried elsewhere where that is safe.
+const gatherLimit = 64 << 10
+
+// gather reads the body where it is within gatherLimit, which also frees the
+// connection and the slot of the backend server from a slow caller. One
+// without a length is read only where it is brief.
+func (a *answer) gather(ctx context.Context, brief bool) error {
+	if a.resp.ContentLength > gatherLimit || a.resp.ContentLength < 0 && !brief {
+		return nil
+	}
+	body := a.resp.Body
+	b, err := io.ReadAll(io.LimitReader(body, gatherLimit+1))
+	if err != nil {
+		body.Close()
+		code := mwcode.AnswerCut
+		if ctx.Err() != nil {
+			code = mwcode.Silent
+		}
+		return mwcode.New(code, mwcode.Wrap(err))
+	}
+	if len(b) > gatherLimit {
+		a.resp.Body = &joined{io.MultiReader(bytes.NewReader(b), body), body}
+		return nil
+	}
+	body.Close()
+	a.gathered = true
+	a.resp.Body = io.NopCloser(bytes.NewReader(b))
+	if a.e.r.Method != http.MethodHead && len(a.resp.Trailer) == 0 {
+		a.resp.ContentLength = int64(len(b))
+		a.resp.Header.Set("Content-Length", strconv.Itoa(len(b)))
+	}
+	return nil
+}
+
+// joined reads from a reader and closes the body behind it.
+type joined struct {
+	io.Reader
+	body io.Closer
+}
+
+// Close closes the body.
+func (j *joined) Close() error { return j.body.Close() }
+
+// Whole tells whether nothing of the answer is left at its sender.
+func (a *answer) Whole() bool { return a.gathered }
+
 // Send sends the answer to the caller. Where its end does not come, the
 // caller's connection is broken off.
 func (a *answer) Send(h mwcall.Head) error {
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"maps"
 	"net/http"
 	"net/textproto"
@@ -23,6 +22,7 @@
 	f       *Front
 	w       http.ResponseWriter
 	r       *http.Request
+	c       *mwcall.Call
 	body    *body
 	between bool // between tells that another node asks.
 
@@ -49,35 +49,35 @@
 		a.Drop()
 		return nil, &mwkernel.Refusal{Head: a.head, Err: mwcode.New(a.head.Code)}
 	}
-	a.head.Failed = failed(resp.StatusCode)
+	a.head.Failed = Failed(resp.StatusCode)
 	return a, nil
 }
 
 // Deliver hands c to the backend server announced by a.
 func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
 	out := e.request(a.Address)
-	encodeBackend(out.Header, c, time.Now())
-	resp, err := e.f.backends.run(ctx, e.f.backends.get(a.Address, a.Connections), out, a.Address, e.early)
+	e.f.dialect.Hand(out.Header, c, a, time.Now())
+	belongs := func(h http.Header) bool { return e.f.dialect.Belongs(h, c) }
+	resp, err := e.f.backends.run(ctx, out, a.Address, belongs, e.early)
 	if err != nil {
 		return nil, err
 	}
-	if resp.Header.Get(HeaderNotRun) == yes {
-		(&answer{e: e, resp: resp}).Drop()
-		return nil, mwcode.New(mwcode.Overloaded)
+	rep := e.f.dialect.Reply(resp, c)
+	ans := &answer{e: e, resp: resp, head: rep.Head, keep: c.Key != "" && !c.Class.Repeatable}
+	if err := ans.gather(ctx, rep.Brief); err != nil {
+		return nil, err
 	}
-	strip(resp.Header)
-	ans := &answer{e: e, resp: resp, keep: c.Key != "" && !c.Class.Repeatable}
-	ans.head.Failed = failed(resp.StatusCode)
-	ans.head.Elsewhere = ans.head.Failed
-	if resp.StatusCode == http.StatusServiceUnavailable {
-		ans.head.Code = mwcode.BackendUnavailable
+	if rep.Refused != mwcode.OK {
+		ans.Drop()
+		return nil, mwcode.New(rep.Refused)
 	}
+	strip(resp.Header)
 	return ans, nil
 }
 
-// failed tells whether a status says that the backend server could not
+// Failed tells whether a status says that the backend server could not
 // answer.
-func failed(status int) bool {
+func Failed(status int) bool {
 	switch status {
 	case http.StatusInternalServerError, http.StatusBadGateway,
 		http.StatusServiceUnavailable, http.StatusGatewayTimeout:
@@ -92,7 +92,7 @@
 		Method: e.r.Method,
 		URL: &url.URL{
 			Scheme: "http", Host: string(addr), Path: e.r.URL.Path,
-			RawPath: e.r.URL.RawPath, RawQuery: e.r.URL.RawQuery,
+			RawPath: e.r.URL.RawPath, RawQuery: e.r.URL.RawQuery, ForceQuery: e.r.URL.ForceQuery,
 		},
 		Host: e.r.Host, Header: e.r.Header.Clone(),
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
@@ -149,23 +149,20 @@
 		return
 	}
 	h.Code = mwcode.Of(err)
-	writeRefusal(e.w, err, h, e.between)
-}
-
-func writeRefusal(w http.ResponseWriter, err error, h mwcall.Head, between bool) {
-	encodeHead(w.Header(), h, between)
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status(h.Code))
-	v := mwcode.ReportOf(err)
-	v.Outcome = outcome(v.Code)
-	json.NewEncoder(w).Encode(v)
+	e.f.refuse(e.w, e.c, err, h, e.between)
 }
 
-// status returns the HTTP status that goes with a code.
-func status(c mwcode.Code) int {
+// Status returns the HTTP status that goes with a code.
+func Status(c mwcode.Code) int {
 	switch c {
 	case mwcode.BadRequest, mwcode.NoKey, mwcode.BadValue, mwcode.TooDeep:
 		return http.StatusBadRequest
+	case mwcode.NoRoute:
+		return http.StatusNotFound
+	case mwcode.BodyTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case mwcode.HeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case mwcode.CallerRatio, mwcode.CallerLimit:
 		return http.StatusTooManyRequests
 	case mwcode.DeadlinePassed, mwcode.DeadlineTooShort, mwcode.Silent:
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -1,6 +1,7 @@
 package mwhttp
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -8,6 +9,7 @@
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwlib/mwunit"
@@ -20,19 +22,35 @@
 // bounded whatever its size.
 type Front struct {
 	k        *mwkernel.Kernel
+	dialect  Dialect
 	buffer   mwunit.Bytes
 	idle     time.Duration
 	peers    *pool
-	backends *pool
+	backends *links
 }
 
+// options are what New takes beside the settings.
+type options struct{ dialect Dialect }
+
+// Option changes how New makes a Front.
+type Option = mwoption.Option[options]
+
+// WithDialect sets the dialect of callers and backend servers; the product's
+// own one is the default.
+func WithDialect(d Dialect) Option { return func(o *options) { o.dialect = d } }
+
 // sweepPeriod is the time between two looks for unused transports.
-const sweepPeriod = time.Minute
+const sweepPeriod = 5 * time.Second
 
 // New returns the Front of k. The returned function closes its connections
 // to other nodes and to backend servers.
-func New(k *mwkernel.Kernel, set mwsetting.Relay) (*Front, func()) {
-	f := &Front{k: k, buffer: set.Buffer, idle: set.Idle, peers: newPool(), backends: newPool()}
+func New(k *mwkernel.Kernel, set mwsetting.Relay, opts ...Option) (*Front, func()) {
+	o := options{dialect: Own{}}
+	mwoption.Apply(&o, opts...)
+	f := &Front{
+		k: k, dialect: o.dialect, buffer: set.Buffer, idle: set.Idle,
+		peers: newPool(), backends: newLinks(),
+	}
 	stop := mwtimer.Every(sweepPeriod, func(now time.Time) {
 		f.peers.sweep(now)
 		f.backends.sweep(now)
@@ -71,12 +89,15 @@
 // where the answer is not whole.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, o mwcall.Origin) {
 	between := o == mwcall.Peer
-	c, err := decode(r, o, time.Now())
+	c, err := f.call(r, o)
 	if err == nil && isUpgrade(r) {
 		err = badHeader("Upgrade", "a request of HTTP")
 	}
+	if err == nil {
+		err = f.withinLimits(r, o)
+	}
 	if err != nil {
-		writeRefusal(w, err, mwcall.Head{Code: mwcode.Of(err)}, between)
+		f.refuse(w, c, err, mwcall.Head{Code: mwcode.Of(err)}, between)
 		return
 	}
 	// The body of r itself stays in place: net/http's server looks at its
@@ -84,16 +105,50 @@
 	b, err := newBody(&patient{http.NewResponseController(w), r.Body, f.idle}, r.ContentLength, f.buffer)
 	if err != nil {
 		err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
-		writeRefusal(w, err, mwcall.Head{Code: mwcode.CallerGone}, between)
+		f.refuse(w, c, err, mwcall.Head{Code: mwcode.CallerGone}, between)
 		return
 	}
-	e := &exchange{f: f, w: w, r: r, body: b, between: between}
+	e := &exchange{f: f, w: w, r: r, c: c, body: b, between: between}
 	f.k.Serve(r.Context(), c, e)
 	if e.broken {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// call returns the call of r, by the dialect or, from another node, by the
+// headers for nodes.
+func (f *Front) call(r *http.Request, o mwcall.Origin) (*mwcall.Call, error) {
+	if o != mwcall.Peer {
+		return f.dialect.Call(r, o, time.Now())
+	}
+	c, err := decode(r, o, time.Now())
+	if c != nil {
+		c.ID, c.Host = f.dialect.ID(r.Header), r.Host
+	}
+	return c, err
+}
+
+// withinLimits checks the limits that the configuration sets to callers.
+func (f *Front) withinLimits(r *http.Request, o mwcall.Origin) error {
+	s := f.k.Configuration().Snapshot()
+	if o == mwcall.Peer || s == nil {
+		return nil
+	}
+	if most := s.CallerLimits().BodyBytes; most > 0 && r.ContentLength > int64(most) {
+		return mwcode.New(mwcode.BodyTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", most)))
+	}
+	return nil
+}
+
+// refuse answers with err, to another node by the headers for nodes.
+func (f *Front) refuse(w http.ResponseWriter, c *mwcall.Call, err error, h mwcall.Head, between bool) {
+	if between {
+		writeRefusal(w, err, h, true)
+		return
+	}
+	f.dialect.Refuse(w, c, err, h)
+}
+
 // patient is a request body whose sender may be silent for idle at a time.
 type patient struct {
 	rc   *http.ResponseController
--- a/mwlib/mwhttp/header.go
+++ b/mwlib/mwhttp/header.go
@@ -61,7 +61,7 @@
 		Caller: mwid.CallerName(h.Get(HeaderCaller)), Service: serviceOf(r),
 		Method: r.Method, Path: r.URL.Path,
 		Key: mwid.CallKey(h.Get(HeaderKey)), First: h.Get(HeaderFirst) == yes,
-		Resubmitted: h.Get(HeaderResubmitted) == yes, Origin: o,
+		Resubmitted: h.Get(HeaderResubmitted) == yes, Origin: o, Host: r.Host,
 	}
 	if c.Service == "" {
 		return nil, badHeader(HeaderService, "the name of a service")
--- /dev/null
+++ b/mwlib/mwhttp/link.go
@@ -0,0 +1,372 @@
+package mwhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwshard"
+)
+
+// links keeps the connections to backend servers. It reads and writes with
+// net/http's own functions, but not through its Transport: a backend server
+// may send an answer twice, late or with bytes after its end, and only the
+// owner of the connection can pass over an answer that belongs to an earlier
+// call and still read the right one.
+//
+// Connections are used in turn, the one that rested longest first, so that
+// few of them reach the backend server's idle timeout.
+type links struct {
+	m *mwshard.Map[mwid.Address, *linkSet]
+}
+
+// linkSet is the idle connections to one backend server.
+type linkSet struct {
+	addr mwid.Address
+	mu   sync.Mutex
+	idle []*link
+	used time.Time
+}
+
+// link is one connection to a backend server, used by one call at a time.
+type link struct {
+	set   *linkSet
+	conn  net.Conn
+	r     *bufio.Reader
+	until time.Time // until is when the backend server may close it.
+}
+
+// Times of connections to backend servers.
+const (
+	// linkDialTimeout bounds the opening of a connection within the VM.
+	linkDialTimeout = 500 * time.Millisecond
+	// linkIdle is how long a connection rests unused where the backend server
+	// does not say.
+	linkIdle = 8 * time.Second
+	// linkMargin is how long before the backend server's own idle timeout a
+	// connection is given up.
+	linkMargin = 1500 * time.Millisecond
+	// linkBuffer is the size in bytes of a connection's read buffer.
+	linkBuffer = 4 << 10
+	// inlineBody is the largest body in bytes that is written before the
+	// answer is read: it fits into the window of any connection.
+	inlineBody = 4 << 10
+	// strayBytes is the largest answer to another call that is read to its
+	// end to reach the next one.
+	strayBytes = 1 << 20
+)
+
+func newLinks() *links {
+	return &links{m: mwshard.New[mwid.Address, *linkSet](mwshard.DefaultShards)}
+}
+
+func (l *links) set(addr mwid.Address) *linkSet {
+	return l.m.GetOrSet(addr, func() *linkSet { return &linkSet{addr: addr} })
+}
+
+// sweep closes what was unused for too long.
+func (l *links) sweep(now time.Time) {
+	l.m.DeleteFunc(func(_ mwid.Address, s *linkSet) bool {
+		s.expire(now)
+		return s.unused(now)
+	})
+}
+
+func (l *links) close() {
+	l.m.Range(func(_ mwid.Address, s *linkSet) bool {
+		s.drop()
+		return true
+	})
+}
+
+func (s *linkSet) unused(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle) == 0 && now.Sub(s.used) > unusedTransport
+}
+
+// expire closes the connections that rested for too long.
+func (s *linkSet) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, k := range s.idle {
+		if now.Before(k.until) {
+			s.idle[n] = k
+			n++
+			continue
+		}
+		k.conn.Close()
+	}
+	clear(s.idle[n:])
+	s.idle = s.idle[:n]
+}
+
+// drop closes all idle connections. It is called when one went silent, as the
+// others may be as dead.
+func (s *linkSet) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.idle {
+		k.conn.Close()
+	}
+	s.idle = nil
+}
+
+// pop returns the connection that rested longest, or nil.
+func (s *linkSet) pop(now time.Time) *link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.used = now
+	if len(s.idle) == 0 {
+		return nil
+	}
+	k := s.idle[0]
+	s.idle = s.idle[1:]
+	return k
+}
+
+func (s *linkSet) push(k *link) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = append(s.idle, k)
+}
+
+// take returns a connection that is sound, opening one where none is idle.
+func (s *linkSet) take(ctx context.Context) (*link, error) {
+	for now := time.Now(); ; {
+		k := s.pop(now)
+		if k == nil {
+			return s.dial(ctx)
+		}
+		if now.Before(k.until) && k.quiet() {
+			return k, nil
+		}
+		k.conn.Close()
+	}
+}
+
+func (s *linkSet) dial(ctx context.Context) (*link, error) {
+	d := net.Dialer{Timeout: linkDialTimeout, Control: setUnackedTimeout}
+	conn, err := d.DialContext(ctx, "tcp", string(s.addr))
+	if err != nil {
+		code := mwcode.ConnectFailed
+		switch {
+		case errors.Is(ctx.Err(), context.DeadlineExceeded):
+			code = mwcode.DeadlinePassed
+		case ctx.Err() != nil:
+			code = mwcode.CallerGone
+		}
+		return nil, mwcode.New(code, mwcode.Wrap(err))
+	}
+	return &link{set: s, conn: conn, r: bufio.NewReaderSize(conn, linkBuffer)}, nil
+}
+
+// quiet tells whether nothing came on an idle connection: neither its end nor
+// bytes that no call asked for.
+func (k *link) quiet() bool {
+	if k.r.Buffered() > 0 {
+		return false
+	}
+	sc, ok := k.conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	rc, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// rest puts the connection back where resp leaves it usable.
+func (k *link) rest(resp *http.Response) {
+	if resp.Close || k.r.Buffered() > 0 {
+		k.conn.Close()
+		return
+	}
+	k.until = time.Now().Add(idleOf(resp.Header))
+	k.set.push(k)
+}
+
+// idleOf returns how long a connection may rest after an answer with h.
+func idleOf(h http.Header) time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
+		if !ok {
+			continue
+		}
+		if n, err := strconv.Atoi(v); err == nil {
+			return max(time.Duration(n)*time.Second-linkMargin, 0)
+		}
+	}
+	return linkIdle
+}
+
+// linkCall is one request on a link.
+type linkCall struct {
+	k       *link
+	out     *http.Request
+	early   func(int, textproto.MIMEHeader) error
+	belongs func(http.Header) bool
+	wrote   chan error // wrote gets the result of a write beside the read; nil without one.
+	stop    func() bool
+}
+
+// run sends out to addr and returns the head of its answer. Its error has a
+// code that tells whether a byte of the request may have reached addr.
+func (l *links) run(ctx context.Context, out *http.Request, addr mwid.Address, belongs func(http.Header) bool, early func(int, textproto.MIMEHeader) error) (*http.Response, error) {
+	s := l.set(addr)
+	k, err := s.take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkCall{k: k, out: out, early: early, belongs: belongs}
+	c.stop = context.AfterFunc(ctx, func() { k.conn.Close() })
+	resp, err := c.roundTrip()
+	if err == nil {
+		return resp, nil
+	}
+	c.stop()
+	k.conn.Close()
+	code := mwcode.ConnectionLost
+	if ctx.Err() != nil {
+		code = mwcode.Silent
+		s.drop()
+	}
+	return nil, mwcode.New(code, mwcode.Wrap(err))
+}
+
+func (c *linkCall) roundTrip() (*http.Response, error) {
+	if err := c.write(); err != nil {
+		return nil, err
+	}
+	for {
+		resp, err := http.ReadResponse(c.k.r, c.out)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("mwhttp: unasked change of protocol")
+		case resp.StatusCode < http.StatusOK:
+			if err := c.early(resp.StatusCode, textproto.MIMEHeader(resp.Header)); err != nil {
+				return nil, err
+			}
+		case c.belongs(resp.Header):
+			resp.Body = &linkBody{c: c, resp: resp, body: resp.Body}
+			return resp, nil
+		default:
+			if err := passOver(resp); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// passOver reads an answer to another call to its end.
+func passOver(resp *http.Response) error {
+	if resp.Close {
+		return errors.New("mwhttp: the connection ends with an answer to another call")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes))
+	if err == nil && n == strayBytes {
+		err = errors.New("mwhttp: a long answer to another call")
+	}
+	return err
+}
+
+// write writes the request. A longer body is written beside the reading of
+// the answer, which a backend server may send before it has read the body.
+func (c *linkCall) write() error {
+	if c.out.ContentLength >= 0 && c.out.ContentLength <= inlineBody {
+		return c.send()
+	}
+	c.wrote = make(chan error, 1)
+	go func() { c.wrote <- c.send() }()
+	return nil
+}
+
+func (c *linkCall) send() error {
+	w := bufio.NewWriterSize(c.k.conn, linkBuffer)
+	if err := c.out.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// written tells whether the whole request went out.
+func (c *linkCall) written() bool {
+	if c.wrote == nil {
+		return true
+	}
+	select {
+	case err := <-c.wrote:
+		c.wrote <- err
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// linkBody is the body of an answer, which gives the connection back at its
+// end.
+type linkBody struct {
+	c    *linkCall
+	resp *http.Response
+	body io.ReadCloser
+	done bool
+}
+
+// Read reads from the answer.
+func (b *linkBody) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end(b.c.written())
+	} else if err != nil {
+		b.end(false)
+	}
+	return n, err
+}
+
+// Close closes the connection where the answer was not read to its end.
+func (b *linkBody) Close() error {
+	b.end(false)
+	return nil
+}
+
+// end ends the call; a usable connection goes back to the others.
+func (b *linkBody) end(usable bool) {
+	if b.done {
+		return
+	}
+	b.done = true
+	if b.c.stop() && usable {
+		b.c.k.rest(b.resp)
+		return
+	}
+	b.c.k.conn.Close()
+}
--- a/mwlib/mwid/id.go
+++ b/mwlib/mwid/id.go
@@ -44,6 +44,12 @@
 // its tries.
 type OperationID string
 
+// RequestID identifies one attempt of a caller, as the caller names it.
+type RequestID string
+
+// InstanceID identifies one start of a backend server, as it names itself.
+type InstanceID string
+
 // OperatorName names who asked for a change.
 type OperatorName string
 
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -27,9 +27,28 @@
 	m *mwshard.Map[mwid.ServiceName, backend]
 }
 
+// backend is what is known of the backend server of a service. One that left
+// stays, so that a late announcement of it can be told from one of its
+// successor.
 type backend struct {
 	mwcall.Announcement
 	until time.Time
+	left  bool
+}
+
+// follows tells whether a is newer than what b knows: of a later start, or
+// the next of the same start. Announcements without a start are not ordered.
+func (b backend) follows(a mwcall.Announcement) bool {
+	if a.Started.IsZero() {
+		return true
+	}
+	if c := a.Started.Compare(b.Started); c != 0 {
+		return c > 0
+	}
+	if a.Instance != b.Instance {
+		return !b.left && a.Seq > 0
+	}
+	return !b.left && a.Seq > b.Seq
 }
 
 func newBackends(k *Kernel) (*backends, func()) {
@@ -40,7 +59,7 @@
 // get returns the announcement of s where it holds.
 func (b *backends) get(s mwid.ServiceName) (mwcall.Announcement, bool) {
 	v, ok := b.m.Get(s)
-	return v.Announcement, ok && time.Now().Before(v.until)
+	return v.Announcement, ok && !v.left && time.Now().Before(v.until)
 }
 
 // sweep withdraws what lapsed.
@@ -50,7 +69,9 @@
 		if now.Before(v.until) {
 			return false
 		}
-		gone = append(gone, s)
+		if !v.left {
+			gone = append(gone, s)
+		}
 		return true
 	})
 	for _, s := range gone {
@@ -60,16 +81,38 @@
 }
 
 // Announce takes the announcement of this VM's backend server, or renews it.
+// One that is older than what is known changes nothing.
 func (k *Kernel) Announce(a mwcall.Announcement) error {
 	if err := checkAnnouncement(&a); err != nil {
 		return err
 	}
-	k.backends.m.Set(a.Service, backend{a, time.Now().Add(a.TTL)})
+	if !k.backends.take(a) {
+		k.log.Info("old announcement passed over", "Service", a.Service, "Instance", a.Instance, "Seq", a.Seq)
+		return nil
+	}
 	k.admit.Announce(a)
 	k.member.Announce(a)
 	return nil
 }
 
+// take keeps a and tells whether it is newer than what was known.
+func (b *backends) take(a mwcall.Announcement) bool {
+	taken, fresh := false, false
+	b.m.Update(a.Service, func(old backend, ok bool) (backend, bool) {
+		if ok && !old.follows(a) {
+			return old, true
+		}
+		taken = true
+		fresh = !ok || old.Instance != a.Instance || !old.Started.Equal(a.Started) || old.Leaving != a.Leaving
+		return backend{Announcement: a, until: time.Now().Add(a.TTL)}, true
+	})
+	if fresh {
+		b.k.log.Info("backend server announced", "Service", a.Service, "Instance", a.Instance,
+			"Address", a.Address, "Slots", a.Slots, "Leaving", a.Leaving, "Seq", a.Seq)
+	}
+	return taken
+}
+
 func checkAnnouncement(a *mwcall.Announcement) error {
 	if a.TTL == 0 {
 		a.TTL = DefaultTTL
@@ -92,15 +135,40 @@
 
 // Withdraw takes back the announcement of s.
 func (k *Kernel) Withdraw(s mwid.ServiceName) {
-	k.backends.m.Delete(s)
+	k.backends.leave(s)
 	k.member.Withdraw(s)
 }
 
+// WithdrawInstance takes back the announcement of the backend server id,
+// whatever its service. It does nothing where id is not announced.
+func (k *Kernel) WithdrawInstance(id mwid.InstanceID) {
+	for _, a := range k.Announced() {
+		if a.Instance == id {
+			k.log.Info("backend server left", "Service", a.Service, "Instance", id)
+			k.Withdraw(a.Service)
+		}
+	}
+}
+
+// lateFor is how long an announcement may be under way: that of a backend
+// server which left is told from its successor's for so long.
+const lateFor = time.Minute
+
+// leave notes that the backend server of s left.
+func (b *backends) leave(s mwid.ServiceName) {
+	b.m.Update(s, func(old backend, ok bool) (backend, bool) {
+		old.left, old.until = true, time.Now().Add(lateFor)
+		return old, ok && !old.Started.IsZero()
+	})
+}
+
 // Announced returns the announcements that hold.
 func (k *Kernel) Announced() []mwcall.Announcement {
 	var as []mwcall.Announcement
 	k.backends.m.Range(func(_ mwid.ServiceName, v backend) bool {
-		as = append(as, v.Announcement)
+		if !v.left {
+			as = append(as, v.Announcement)
+		}
 		return true
 	})
 	return as
--- a/mwlib/mwkernel/exchange.go
+++ b/mwlib/mwkernel/exchange.go
@@ -32,6 +32,9 @@
 type Answer interface {
 	// Head returns the head of the answer.
 	Head() mwcall.Head
+	// Whole tells whether nothing of the answer is left at its sender, so
+	// that the sender is free for other work.
+	Whole() bool
 	// Send sends the answer to the caller with h as its head. It returns
 	// nil only where the whole answer went out; else the caller sees a
 	// broken answer.
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -342,3 +342,5 @@
 		return of(&fakes{w: w.(*world), snap: snap}), nil, err
 	}
 }
+
+func (a *answer) Whole() bool { return false }
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -36,6 +37,7 @@
 // Exchange, so that another encoding can use the same decisions.
 type Kernel struct {
 	set   *mwsetting.Node
+	env   Env
 	log   *slog.Logger
 	stat  *stats
 	place mwcall.Target
@@ -99,6 +101,8 @@
 		ends.run()
 		return nil, nil, err
 	}
+	env.Store, env.Membership, env.Configuration = k.store, k.member, k.config
+	k.env = env
 	var end func()
 	k.backends, end = newBackends(k)
 	ends.add(end)
@@ -121,6 +125,13 @@
 	*e = nil
 }
 
+// Log returns where this node logs.
+func (k *Kernel) Log() *slog.Logger { return k.log }
+
+// Env returns what the plug-ins of this node got, with all that it lacks for
+// those that are made first.
+func (k *Kernel) Env() Env { return k.env }
+
 // Self returns this node as a target without a service.
 func (k *Kernel) Self() mwcall.Target { return k.place }
 
@@ -203,6 +214,36 @@
 	}
 }
 
+// resolve sets the service of a call that names none by the route of its host
+// and path, and bounds its time by that of the route.
+func (k *Kernel) resolve(c *mwcall.Call, s *mwconfig.Snapshot, ok bool) error {
+	if c.Service != "" {
+		return nil
+	}
+	if !ok {
+		return mwcode.New(mwcode.NoConfiguration)
+	}
+	r, found := s.RouteOf(c.Host, c.Path)
+	if !found {
+		return mwcode.New(mwcode.NoRoute)
+	}
+	c.Service = r.Pick(rand.Float64())
+	if r.Timeout == 0 {
+		return nil
+	}
+	if end := time.Now().Add(time.Duration(r.Timeout)); c.Deadline.IsZero() || end.Before(c.Deadline) {
+		c.Deadline = end
+	}
+	return nil
+}
+
+// Ready tells whether this node should get calls: it has a configuration and
+// is not about to end.
+func (k *Kernel) Ready() bool {
+	_, ok := k.snapshot()
+	return ok && !k.Draining()
+}
+
 // serverOf returns what selectors see of the backend server that c goes to:
 // this VM's own for a call from another node, else only its service.
 func (k *Kernel) serverOf(c *mwcall.Call) mwconfig.Server {
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -42,6 +42,10 @@
 func (k *Kernel) route(ctx context.Context, c *mwcall.Call, ex Exchange) {
 	k.adopt(c)
 	s, ok := k.snapshot()
+	if err := k.resolve(c, s, ok); err != nil {
+		k.refuse(c, ex, err)
+		return
+	}
 	k.classify(c, s, ok)
 	r := &routing{k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID]()}
 	if err := r.begin(ok); err != nil {
@@ -53,6 +57,13 @@
 	r.run(ctx)
 }
 
+// refuse answers a call that goes nowhere.
+func (k *Kernel) refuse(c *mwcall.Call, ex Exchange, err error) {
+	code := mwcode.Of(err)
+	k.stat.refused(code)
+	ex.Refuse(err, mwcall.Head{Code: code, Unused: c.Budget})
+}
+
 // begin checks that the call may start and gives a root call its budget;
 // configured tells whether the node has a configuration.
 func (r *routing) begin(configured bool) error {
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -76,6 +76,7 @@
 	start   time.Time
 	first   time.Duration
 	stop    context.CancelFunc // stop ends the context of a claimed call.
+	ended   bool
 }
 
 // run claims c where it must not repeat, and hands it over.
@@ -101,6 +102,9 @@
 	if err != nil {
 		return nil, p.failed(err, unused)
 	}
+	if ans.Whole() {
+		p.end(mwcode.OK, ans.Head().Failed, false)
+	}
 	return &delivered{Answer: ans, p: p, unused: unused}, nil
 }
 
@@ -166,8 +170,12 @@
 	}
 }
 
-// end frees the slot and notes what was seen.
+// end frees the slot and notes what was seen. Only the first call counts.
 func (p *passage) end(code mwcode.Code, failed, cancelled bool) {
+	if p.ended {
+		return
+	}
+	p.ended = true
 	s := mwcall.Sample{Wait: p.wait, First: p.first, Code: code, Failed: failed, Cancelled: cancelled}
 	if !p.start.IsZero() {
 		s.Took = time.Since(p.start)
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -26,6 +26,13 @@
 	c.must(err == nil, flag, `"IP:port" with a numeric IP, not "`+string(a)+`"`)
 }
 
+// optional wants "IP:port" or nothing.
+func (c *checker) optional(a mwid.Address, flag string) {
+	if a != "" {
+		c.address(a, flag)
+	}
+}
+
 // loopback wants an address that only this VM reaches.
 func (c *checker) loopback(a mwid.Address, flag string) {
 	ap, err := netip.ParseAddrPort(string(a))
@@ -53,6 +60,7 @@
 	var c checker
 	c.must(n.Place.Zone != "", "zone", "the name of an availability zone")
 	c.must(n.Place.Region != "", "region", "the name of a region")
+	c.optional(n.Place.Backend, "backend")
 	c.listen(n.Listen)
 	c.store(n.Store)
 	c.member(n.Member)
@@ -121,7 +129,11 @@
 
 func (c *checker) listen(l Listen) {
 	c.address(l.Entry, "entry")
-	c.loopback(l.Local, "local")
+	if l.Local != "" {
+		c.loopback(l.Local, "local")
+	}
+	c.optional(l.Control, "control")
+	c.optional(l.Ready, "ready")
 	c.address(l.Peer, "peer")
 	c.address(l.Admin, "admin")
 	c.must((l.CertFile == "") == (l.KeyFile == ""), "tls-cert", "both --tls-cert and --tls-key, or none")
--- /dev/null
+++ b/mwlib/mwsetting/file.go
@@ -0,0 +1,78 @@
+package mwsetting
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+
+	"github.com/jessevdk/go-flags"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwregistry"
+)
+
+// Locator tells where a platform places the settings file; ok is false where
+// it places none.
+type Locator func() (path string, ok bool)
+
+// Files is the extension point for settings files that a platform places.
+var Files = mwregistry.New[struct{}, Locator]("settings file")
+
+// Locate returns the path of the first settings file that a platform placed,
+// or an empty one.
+func Locate() (string, error) {
+	for _, n := range Files.Names() {
+		l, _, err := Files.Make(n, struct{}{})
+		if err != nil {
+			return "", err
+		}
+		if path, ok := l(); ok {
+			return path, nil
+		}
+	}
+	return "", nil
+}
+
+// FileArgs returns the settings of an INI file as flags. They go before those
+// of the command line, which override them, and lack the settings that have
+// an environment variable set, which overrides them too.
+func FileArgs(path string) ([]string, error) {
+	p := flags.NewNamedParser("mwnode", flags.None)
+	g, err := p.AddGroup("Node", "", &Node{})
+	if err != nil {
+		return nil, mwcode.New(mwcode.Internal, mwcode.Wrap(err))
+	}
+	if err := flags.NewIniParser(p).ParseFile(path); err != nil {
+		return nil, mwcode.New(mwcode.BadSetting, mwcode.File(path), mwcode.Wrap(err),
+			mwcode.Expected("an INI file with the names of docs/SETTINGS.md"))
+	}
+	var args []string
+	for _, sub := range g.Groups() {
+		for _, o := range sub.Options() {
+			if _, env := os.LookupEnv(o.EnvKeyWithNamespace()); o.IsSet() && !o.IsSetDefault() && !env {
+				args = append(args, flagsOf(o)...)
+			}
+		}
+	}
+	return args, nil
+}
+
+// flagsOf returns the flags that set o to its value.
+func flagsOf(o *flags.Option) []string {
+	flag := "--" + o.LongNameWithNamespace()
+	v := reflect.ValueOf(o.Value())
+	switch v.Kind() {
+	case reflect.Bool:
+		if v.Bool() {
+			return []string{flag}
+		}
+		return nil
+	case reflect.Slice:
+		var out []string
+		for i := range v.Len() {
+			out = append(out, fmt.Sprintf("%s=%v", flag, v.Index(i).Interface()))
+		}
+		return out
+	}
+	return []string{fmt.Sprintf("%s=%v", flag, o.Value())}
+}
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -28,15 +28,20 @@
 type Place struct {
 	Zone   mwid.ZoneName   `long:"zone" env:"ZONE" description:"availability zone of this VM" required:"true"`
 	Region mwid.RegionName `long:"region" env:"REGION" description:"region of the availability zone" required:"true"`
+
+	Service mwid.ServiceName `long:"service" env:"SERVICE" description:"service of this VM's backend server, where it is known; other announcements are refused then"`
+	Backend mwid.Address     `long:"backend" env:"BACKEND" description:"address of this VM's backend server, IP:port, where it is known"`
 }
 
 // Listen holds the addresses of the listeners, "IP:port" each.
 type Listen struct {
-	Entry mwid.Address `long:"entry" env:"ENTRY" default:"127.0.0.1:7000" description:"address for callers, IP:port"`
-	Local mwid.Address `long:"local" env:"LOCAL" default:"127.0.0.1:7001" description:"loopback address for this VM's backend server, IP:port"`
-	Peer  mwid.Address `long:"peer" env:"PEER" default:"127.0.0.1:7002" description:"address for other nodes, IP:port"`
-	Admin mwid.Address `long:"admin" env:"ADMIN" default:"127.0.0.1:7003" description:"loopback address for operators: status, metrics, health, IP:port"`
-	Pprof bool         `long:"pprof" env:"PPROF" description:"serve profiles on the admin listener"`
+	Entry   mwid.Address `long:"entry" env:"ENTRY" default:"127.0.0.1:7000" description:"address for callers, IP:port"`
+	Local   mwid.Address `long:"local" env:"LOCAL" default:"127.0.0.1:7001" description:"loopback address for this VM's backend server, IP:port; empty for none"`
+	Peer    mwid.Address `long:"peer" env:"PEER" default:"127.0.0.1:7002" description:"address for other nodes, IP:port"`
+	Admin   mwid.Address `long:"admin" env:"ADMIN" default:"127.0.0.1:7003" description:"loopback address for operators: status, metrics, health, IP:port"`
+	Control mwid.Address `long:"control" env:"CONTROL" description:"address for announcements by this VM's backend server in the dialect of --use.dialect, IP:port; empty for none"`
+	Ready   mwid.Address `long:"ready" env:"READY" description:"address for questions whether this node takes calls, IP:port; empty for none"`
+	Pprof   bool         `long:"pprof" env:"PPROF" description:"serve profiles on the admin listener"`
 
 	CertFile string `long:"tls-cert" env:"TLS_CERT" description:"certificate file, PEM, for the entry listener; empty is plain HTTP"`
 	KeyFile  string `long:"tls-key" env:"TLS_KEY" description:"key file, PEM, of --tls-cert"`
@@ -44,9 +49,11 @@
 
 // Plugins names the plug-in of each extension point.
 type Plugins struct {
+	Dialect       mwregistry.Name `long:"dialect" env:"DIALECT" default:"headers" description:"headers and statuses that callers and backend servers use"`
 	Store         mwregistry.Name `long:"store" env:"STORE" default:"http" description:"store client"`
 	Membership    mwregistry.Name `long:"membership" env:"MEMBERSHIP" default:"gossip" description:"membership"`
 	Configuration mwregistry.Name `long:"configuration" env:"CONFIGURATION" default:"fanout" description:"source of the configuration"`
+	Source        mwregistry.Name `long:"source" env:"SOURCE" default:"table" description:"where operators write the configuration"`
 	Classifier    mwregistry.Name `long:"classifier" env:"CLASSIFIER" default:"history" description:"classifier"`
 	Admission     mwregistry.Name `long:"admission" env:"ADMISSION" default:"adaptive" description:"admission"`
 	Router        mwregistry.Name `long:"router" env:"ROUTER" default:"cost" description:"router"`
--- a/mwlib/mwversion/fanout.go
+++ b/mwlib/mwversion/fanout.go
@@ -43,6 +43,7 @@
 
 // options are what Options change.
 type options struct {
+	source  Source
 	store   mwstore.Store
 	poll    time.Duration
 	log     *slog.Logger
@@ -58,6 +59,9 @@
 // WithStore sets the store that pollers read.
 func WithStore(s mwstore.Store) Option { return func(o *options) { o.store = s } }
 
+// WithSource sets a source that is followed in place of the store.
+func WithSource(s Source) Option { return func(o *options) { o.source = s } }
+
 // WithPoll sets the time between two reads of a poller.
 func WithPoll(d time.Duration) Option { return func(o *options) { o.poll = d } }
 
@@ -79,7 +83,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	wg.Go(func() { f.follow(ctx) })
-	if f.store != nil {
+	switch {
+	case f.source != nil:
+		wg.Go(func() { f.source.Follow(ctx, f) })
+	case f.store != nil:
 		wg.Go(func() { f.pollInTurn(ctx) })
 	}
 	return f, func() {
--- a/mwlib/mwversion/plugin.go
+++ b/mwlib/mwversion/plugin.go
@@ -1,6 +1,7 @@
 package mwversion
 
 import (
+	"cmp"
 	"errors"
 
 	"mustardwheel.example/mwlib/mwkernel"
@@ -19,7 +20,11 @@
 	if env.Membership == nil || env.Peers == nil {
 		return nil, nil, errIncomplete
 	}
-	opts := []Option{WithLog(env.Log), WithMetrics(env.Metrics)}
+	src, endSource, err := Sources.Make(cmp.Or(env.Settings.Plugins.Source, TableName), env)
+	if err != nil {
+		return nil, nil, err
+	}
+	opts := []Option{WithLog(env.Log), WithMetrics(env.Metrics), WithSource(src)}
 	if env.Store != nil {
 		opts = append(opts, WithStore(env.Store))
 	}
@@ -27,5 +32,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	return f, end, nil
+	return f, func() {
+		end()
+		if endSource != nil {
+			endSource()
+		}
+	}, nil
 }
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -2,6 +2,8 @@
 // and its share of control.
 package main
 
+import "C" // The users' platform wants programs that are linked to the C library.
+
 import (
 	"context"
 	"errors"
@@ -18,6 +20,7 @@
 	"mustardwheel.example/mwlib/mwhost"
 	"mustardwheel.example/mwlib/mwsetting"
 	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
+	_ "mustardwheel.example/platform"         // Registers the adapter to the users' platform.
 )
 
 // Exit codes.
@@ -44,7 +47,11 @@
 	if _, err := p.AddGroup("Node", "", &a); err != nil {
 		return report(err)
 	}
-	_, err := p.ParseArgs(args)
+	args, err := withFile(args)
+	if err != nil {
+		return report(err)
+	}
+	_, err = p.ParseArgs(args)
 	if a.Version {
 		fmt.Println(mwbuild.String())
 		return exitOK
@@ -66,6 +73,16 @@
 	return serve(&a)
 }
 
+// withFile puts the settings of the file that a platform placed before args.
+func withFile(args []string) ([]string, error) {
+	path, err := mwsetting.Locate()
+	if err != nil || path == "" {
+		return args, err
+	}
+	fromFile, err := mwsetting.FileArgs(path)
+	return append(fromFile, args...), err
+}
+
 // report prints err, one line for each fault, and returns exitSettings.
 func report(err error) int {
 	fmt.Fprintln(os.Stderr, err)
