--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -278,7 +278,7 @@
 	defer g.mu.Unlock()
 	l := mwkernel.Load{
 		Limit: g.slots.Limit(), InFlight: g.slots.Used(),
-		Threshold: g.plain.queues[mwlane.Short].Threshold(),
+		Threshold: g.plain.queues[mwlane.Short].Threshold(), Hold: g.plain.paces[mwlane.Short].mean,
 	}
 	for b := range g.bands() {
 		l.Queued += b.waiting()
--- a/mwlib/mwadmit/plugin.go
+++ b/mwlib/mwadmit/plugin.go
@@ -30,6 +30,8 @@
 	GradientName mwregistry.Name = "gradient"
 	// AIMDName picks mwlimit.AIMD.
 	AIMDName mwregistry.Name = "aimd"
+	// SlotsName picks mwlimit.Slots.
+	SlotsName mwregistry.Name = "slots"
 )
 
 // Limiters are the limiters that AdaptiveName can use: each makes an Adaptive
@@ -39,6 +41,7 @@
 func init() {
 	Limiters.Register(GradientName, adaptiveBy(mwlimit.NewGradient))
 	Limiters.Register(AIMDName, adaptiveBy(mwlimit.NewAIMD))
+	Limiters.Register(SlotsName, adaptiveBy(mwlimit.NewSlots))
 	mwkernel.Admissions.Register(AdaptiveName, makeAdaptive)
 	mwkernel.Admissions.Register(FixedName, makeFixed)
 	mwkernel.Admissions.Register(NoneName, makeNone)
--- a/mwlib/mwcall/call.go
+++ b/mwlib/mwcall/call.go
@@ -31,6 +31,12 @@
 	Root    mwid.RootID
 	Attempt mwid.AttemptID // Attempt is new at each node that routes the call.
 	Parent  mwid.AttemptID // Parent is the attempt whose backend server made this call.
+	// Orphan tells that the backend server can't name the Parent, so that the
+	// kernel looks for it.
+	Orphan bool
+	// Of is the ID of the request that this one seems to be made for, empty
+	// where nothing tells; it counts only while that request is served here.
+	Of      mwid.RequestID
 	Caller  mwid.CallerName
 	Service mwid.ServiceName
 	Method  string
@@ -40,6 +46,9 @@
 	Key  mwid.CallKey
 	// First tells that the caller declares the call as its first with Key.
 	First bool
+	// Repeated tells that the call is made by a run that was itself a
+	// repetition, so that it repeats a call that was made before.
+	Repeated bool
 	// Resubmitted tells that the caller declares the call as a repetition.
 	Resubmitted bool
 	Origin      Origin
--- a/mwlib/mwcall/result.go
+++ b/mwlib/mwcall/result.go
@@ -24,6 +24,8 @@
 	Threshold Priority
 	// RetryAfter is how long a caller should wait; 0 says nothing.
 	RetryAfter time.Duration
+	// Report is the target's load.
+	Report Report
 }
 
 // Sample is what was seen of one finished call.
--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -62,6 +62,9 @@
 	BodyTooLarge Code = 1020
 	// HeaderTooLarge tells that the call's header is above the limit.
 	HeaderTooLarge Code = 1021
+	// BackendFull tells that the backend server itself said that it did not
+	// run the call.
+	BackendFull Code = 1022
 )
 
 // Codes of unknown outcomes: the call may have run.
--- a/mwlib/mwcode/table.go
+++ b/mwlib/mwcode/table.go
@@ -35,6 +35,7 @@
 	CallerLimit:        {CallerLimit, "CallerLimit", "the caller is over its own share; did not run"},
 	NoRoute:            {NoRoute, "NoRoute", "no route of the configuration fits; did not run"},
 	BodyTooLarge:       {BodyTooLarge, "BodyTooLarge", "the body is above the limit of callers; did not run"},
+	BackendFull:        {BackendFull, "BackendFull", "the backend server itself refused; did not run"},
 	HeaderTooLarge:     {HeaderTooLarge, "HeaderTooLarge", "the header is above the limit of callers; did not run"},
 	ConnectionLost:     {ConnectionLost, "ConnectionLost", "the connection broke after the first byte; may have run"},
 	Silent:             {Silent, "Silent", "no answer in time; may have run"},
--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -63,7 +63,7 @@
 	b, err := io.ReadAll(io.LimitReader(body, gatherLimit+1))
 	if err != nil {
 		body.Close()
-		code := mwcode.AnswerCut
+		code := mwcode.ConnectionLost
 		if ctx.Err() != nil {
 			code = mwcode.Silent
 		}
--- a/mwlib/mwhttp/dialect.go
+++ b/mwlib/mwhttp/dialect.go
@@ -38,8 +38,9 @@
 
 // Reply is what an answer of a backend server says.
 type Reply struct {
-	// Refused is the code of a backend server that says that it did not run
-	// the call, and OK for any other answer.
+	// Refused is the code of an answer that is not passed on: of a backend
+	// server that says that it did not run the call, or of one whose status
+	// would promise the caller what is not known. It is OK for any other.
 	Refused mwcode.Code
 	// Head is the head of an answer that is none of these.
 	Head mwcall.Head
@@ -84,7 +85,7 @@
 // Reply tells a refusal by HeaderNotRun.
 func (Own) Reply(resp *http.Response, _ *mwcall.Call) Reply {
 	if resp.Header.Get(HeaderNotRun) == yes {
-		return Reply{Refused: mwcode.Overloaded}
+		return Reply{Refused: mwcode.BackendFull}
 	}
 	r := Reply{Head: mwcall.Head{Failed: Failed(resp.StatusCode)}}
 	r.Head.Elsewhere = r.Head.Failed
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -36,7 +36,7 @@
 // Forward sends c to the node of t.
 func (e *exchange) Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (mwkernel.Answer, error) {
 	out := e.request(t.Peer)
-	encodePeer(out.Header, c, time.Now())
+	encodePeer(out.Header, c, t.Region != e.f.k.Self().Region, time.Now())
 	if e.body.large() {
 		out.Header.Set("Expect", "100-continue")
 	}
@@ -50,6 +50,11 @@
 		return nil, &mwkernel.Refusal{Head: a.head, Err: mwcode.New(a.head.Code)}
 	}
 	a.head.Failed = Failed(resp.StatusCode)
+	if a.head.Failed {
+		if err := a.gather(ctx, false); err != nil {
+			return nil, err
+		}
+	}
 	return a, nil
 }
 
--- a/mwlib/mwhttp/header.go
+++ b/mwlib/mwhttp/header.go
@@ -29,13 +29,16 @@
 	HeaderAttempt     = "Mw-Attempt"
 	HeaderDepth       = "Mw-Depth"
 	HeaderBudget      = "Mw-Budget"
+	HeaderRepeated    = "Mw-Repeated"
 	HeaderImportance  = "Mw-Importance"
 	HeaderCode        = "Mw-Code"
 	HeaderOutcome     = "Mw-Outcome"
+	HeaderWait        = "Mw-Wait"
 	HeaderUnused      = "Mw-Unused"
 	HeaderElsewhere   = "Mw-Elsewhere"
 	HeaderThreshold   = "Mw-Threshold"
 	HeaderNotRun      = "Mw-Not-Run"
+	HeaderLoad        = "Mw-Load"
 )
 
 // prefix starts every header of the system.
@@ -90,6 +93,7 @@
 	if c.Attempt == "" {
 		return badHeader(HeaderAttempt, "the id of an attempt")
 	}
+	c.Repeated = h.Get(HeaderRepeated) == yes
 	var err error
 	if c.Depth, _, err = number[mwunit.Depth](h, HeaderDepth); err != nil {
 		return err
@@ -158,37 +162,47 @@
 }
 
 // encodeCommon writes what other nodes and backend servers both get.
-func encodeCommon(h http.Header, c *mwcall.Call, now time.Time) {
+func encodeCommon(h http.Header, c *mwcall.Call, most time.Duration, now time.Time) {
 	h.Set(HeaderService, string(c.Service))
 	h.Set(HeaderRoot, string(c.Root))
 	set(h, HeaderCaller, string(c.Caller))
 	set(h, HeaderKey, string(c.Key))
 	if d, ok := c.Remaining(now); ok {
-		h.Set(HeaderTimeout, max(d-hopMargin(d), time.Millisecond).String())
+		h.Set(HeaderTimeout, max(d-hopMargin(d, most), time.Millisecond).String())
 	}
 }
 
 // hopMargin is the part of the remaining time that a hop keeps for itself,
 // so that the next hop's refusal arrives before the time is over here.
-func hopMargin(d time.Duration) time.Duration { return min(d/20, maxHopMargin) }
+func hopMargin(d, most time.Duration) time.Duration { return min(d/20, most) }
 
-// maxHopMargin bounds hopMargin.
-const maxHopMargin = 10 * time.Millisecond
+// Bounds of hopMargin.
+const (
+	nearMargin = 10 * time.Millisecond
+	// farMargin is for another region: two ways of 20 ms, and the near one.
+	farMargin = 50 * time.Millisecond
+)
 
-// encodePeer writes c into the headers of a request to another node.
-func encodePeer(h http.Header, c *mwcall.Call, now time.Time) {
-	encodeCommon(h, c, now)
+// encodePeer writes c into the headers of a request to another node, which
+// may be far.
+func encodePeer(h http.Header, c *mwcall.Call, far bool, now time.Time) {
+	most := nearMargin
+	if far {
+		most = farMargin
+	}
+	encodeCommon(h, c, most, now)
 	h.Set(HeaderAttempt, string(c.Attempt))
 	h.Set(HeaderDepth, strconv.Itoa(int(c.Depth)))
 	h.Set(HeaderBudget, strconv.Itoa(int(c.Budget)))
 	h.Set(HeaderImportance, strconv.Itoa(int(c.Class.Importance)))
 	flag(h, HeaderFirst, c.First)
+	flag(h, HeaderRepeated, c.Repeated)
 	flag(h, HeaderResubmitted, c.Resubmitted)
 }
 
 // encodeBackend writes c into the headers of a request to a backend server.
 func encodeBackend(h http.Header, c *mwcall.Call, now time.Time) {
-	encodeCommon(h, c, now)
+	encodeCommon(h, c, nearMargin, now)
 	h.Set(HeaderParent, string(c.Attempt))
 }
 
@@ -220,6 +234,12 @@
 	}
 	h.Set(HeaderUnused, strconv.Itoa(int(hd.Unused)))
 	flag(h, HeaderElsewhere, hd.Elsewhere)
+	if hd.RetryAfter > 0 {
+		h.Set(HeaderWait, hd.RetryAfter.String())
+	}
+	if hd.Report.Known() {
+		h.Set(HeaderLoad, encodeReport(hd.Report))
+	}
 	if hd.Threshold > 0 {
 		h.Set(HeaderThreshold, strconv.FormatUint(uint64(hd.Threshold), 10))
 	}
@@ -237,13 +257,40 @@
 	code, _, _ := number[mwcode.Code](h, HeaderCode)
 	unused, _, _ := number[mwunit.Attempts](h, HeaderUnused)
 	threshold, _ := strconv.ParseUint(h.Get(HeaderThreshold), 10, 64)
-	wait, _, _ := number[seconds](h, "Retry-After")
+	wait, err := time.ParseDuration(h.Get(HeaderWait))
+	if err != nil || wait < 0 {
+		wait = 0 // A node that does not say leaves it to the next one.
+	}
 	return mwcall.Head{
 		Code: code, Unused: unused, Elsewhere: h.Get(HeaderElsewhere) == yes,
 		Threshold:  mwcall.Priority(threshold),
-		RetryAfter: time.Duration(wait) * time.Second,
+		RetryAfter: wait, Report: decodeReport(h.Get(HeaderLoad)),
 	}
 }
 
-// seconds is a time in whole seconds, as Retry-After writes it.
-type seconds int
+// encodeReport writes r as five numbers: calls in flight, queued, the limit,
+// and two times in microseconds.
+func encodeReport(r mwcall.Report) string {
+	return fmt.Sprintf("%d,%d,%d,%d,%d", r.InFlight, r.Queued, r.Limit,
+		r.Hold.Microseconds(), r.Spent.Microseconds())
+}
+
+// decodeReport reads what encodeReport wrote; anything else says nothing.
+func decodeReport(s string) mwcall.Report {
+	var n [5]int64
+	parts := strings.Split(s, ",")
+	if len(parts) != len(n) {
+		return mwcall.Report{}
+	}
+	for i, p := range parts {
+		v, err := strconv.ParseInt(p, 10, 64)
+		if err != nil || v < 0 {
+			return mwcall.Report{}
+		}
+		n[i] = v
+	}
+	return mwcall.Report{
+		InFlight: mwunit.Slots(n[0]), Queued: mwunit.Slots(n[1]), Limit: mwunit.Slots(n[2]),
+		Hold: time.Duration(n[3]) * time.Microsecond, Spent: time.Duration(n[4]) * time.Microsecond,
+	}
+}
--- a/mwlib/mwhttp/truth_test.go
+++ b/mwlib/mwhttp/truth_test.go
@@ -42,7 +42,7 @@
 			w.Header().Set(mwhttp.HeaderNotRun, "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		},
-		code: mwcode.Overloaded, outcome: "NotRun",
+		code: mwcode.BackendFull, outcome: "NotRun",
 	}, {
 		name:    "connection lost after the request arrived",
 		backend: func(w http.ResponseWriter, r *http.Request) { panic(http.ErrAbortHandler) },
--- a/mwlib/mwkernel/account.go
+++ b/mwlib/mwkernel/account.go
@@ -23,6 +23,7 @@
 	depth      mwunit.Depth
 	importance mwunit.Importance
 	deadline   time.Time
+	repeated   bool
 }
 
 func newAccounts() *accounts {
@@ -32,7 +33,7 @@
 func parentOf(c *mwcall.Call) parent {
 	return parent{
 		root: c.Root, caller: c.Caller, depth: c.Depth,
-		importance: c.Class.Importance, deadline: c.Deadline,
+		importance: c.Class.Importance, deadline: c.Deadline, repeated: c.Repeated,
 	}
 }
 
@@ -40,6 +41,10 @@
 // the backend server works on. A call that names a parent that is not open
 // any more gets no budget.
 func (k *Kernel) adopt(c *mwcall.Call) {
+	if c.Origin == mwcall.Local && c.Orphan && !c.Deadline.IsZero() {
+		c.Parent = k.parents.find(c)
+		k.stat.found(c.Parent != "")
+	}
 	if c.Origin != mwcall.Local || c.Parent == "" {
 		return
 	}
@@ -49,6 +54,7 @@
 		return
 	}
 	c.Root, c.Depth = p.root, p.depth+1
+	c.Repeated = p.repeated
 	c.Importance, c.HasImportance = p.importance, true
 	if c.Caller == "" {
 		c.Caller = p.caller
--- a/mwlib/mwkernel/chain_test.go
+++ b/mwlib/mwkernel/chain_test.go
@@ -50,7 +50,7 @@
 	defer ch.mu.Unlock()
 	ch.arrivals[s]++
 	d := time.Duration(ch.rnd.IntN(5)) * time.Millisecond
-	codes := []mwcode.Code{mwcode.OK, mwcode.Overloaded, mwcode.ConnectionLost, mwcode.BackendUnavailable}
+	codes := []mwcode.Code{mwcode.OK, mwcode.BackendFull, mwcode.ConnectionLost, mwcode.BackendUnavailable}
 	code := codes[ch.rnd.IntN(len(codes))]
 	return d, code, ch.rnd.Float64() < ch.failing && (!ch.bottom || s == level(depth-1))
 }
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -284,7 +284,7 @@
 func (a admission) Admit(context.Context, *mwcall.Call) (mwkernel.Release, error) {
 	if a.w.busy.Add(1) > int64(a.w.slots) {
 		a.w.busy.Add(-1)
-		return nil, mwcode.New(mwcode.Overloaded)
+		return nil, mwcode.New(mwcode.BackendFull)
 	}
 	return func(mwcall.Sample) { a.w.busy.Add(-1) }, nil
 }
--- a/mwlib/mwkernel/hedge.go
+++ b/mwlib/mwkernel/hedge.go
@@ -33,6 +33,7 @@
 
 // attempt is one of two attempts that run at the same time.
 type attempt struct {
+	to   mwcall.Target
 	done chan outcome // done takes one outcome without a wait.
 	stop context.CancelFunc
 }
@@ -41,7 +42,7 @@
 // attempt is over, also where its answer is not waited for.
 func (r *routing) start(ctx context.Context, t mwcall.Target) *attempt {
 	ctx, cancel := context.WithCancel(ctx)
-	l := &attempt{done: make(chan outcome, 1), stop: cancel}
+	l := &attempt{to: t, done: make(chan outcome, 1), stop: cancel}
 	give := r.share()
 	r.k.life.enter()
 	go func() {
@@ -54,6 +55,7 @@
 // settle takes the outcome of the only attempt left.
 func (r *routing) settle(l *attempt, o outcome) outcome {
 	r.balance += o.back
+	r.note(l.to, o)
 	if o.err != nil {
 		l.stop()
 		return o
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -53,6 +53,7 @@
 
 	backends *backends
 	accounts *accounts
+	parents  *parents
 	life     *life
 }
 
@@ -94,7 +95,7 @@
 		place: mwcall.Target{
 			Node: env.Node, Peer: set.Listen.Peer, Zone: set.Place.Zone, Region: set.Place.Region,
 		},
-		accounts: newAccounts(), life: newLife(),
+		accounts: newAccounts(), parents: newParents(), life: newLife(),
 	}
 	var ends ends
 	if err := k.makePlugins(env, &ends); err != nil {
--- a/mwlib/mwkernel/path_test.go
+++ b/mwlib/mwkernel/path_test.go
@@ -48,7 +48,7 @@
 var (
 	good   = reply{}
 	failed = reply{head: mwcall.Head{Failed: true, Elsewhere: true}}
-	shed   = reply{code: mwcode.Overloaded}
+	shed   = reply{code: mwcode.BackendFull}
 	lost   = reply{code: mwcode.ConnectionLost}
 )
 
@@ -86,7 +86,7 @@
 		{"lost, then refused: may have run", "chain", []reply{lost, shed}, 1, false, mwcode.ConnectionLost, false, 0, 2},
 		{"refused, then lost: may have run", "chain", []reply{shed, lost}, 1, false, mwcode.ConnectionLost, false, 0, 2},
 		{"failure, then refused: may have run", "chain", []reply{failed, shed}, 1, false, mwcode.BackendUnavailable, false, 0, 2},
-		{"no target is left: the cause stays", "chain", []reply{shed, shed, shed}, 5, false, mwcode.Overloaded, false, 2, 3},
+		{"no target is left: the cause stays", "chain", []reply{shed, shed, shed}, 5, false, mwcode.BackendFull, false, 2, 3},
 		{"hedge not needed", "hedger", []reply{good}, 2, false, mwcode.OK, false, 2, 1},
 		{"hedge wins", "hedger", []reply{slow(good), good}, 2, false, mwcode.OK, false, 0, 2},
 		{"first wins", "hedger", []reply{later(good), slow(good)}, 2, false, mwcode.OK, false, 1, 2},
--- a/mwlib/mwkernel/point.go
+++ b/mwlib/mwkernel/point.go
@@ -30,6 +30,20 @@
 	InFlight  mwunit.Slots
 	Queued    mwunit.Slots
 	Threshold mwcall.Priority
+	// Hold is the mean time that a call holds its slot; 0 where it is not
+	// known.
+	Hold time.Duration
+}
+
+// Report returns l as it goes to other nodes with a call that spent so long
+// here.
+func (l Load) Report(spent time.Duration) mwcall.Report {
+	return mwcall.Report{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Hold: l.Hold, Spent: spent}
+}
+
+// RetryAfter returns the time until those who wait now have started.
+func (l Load) RetryAfter() time.Duration {
+	return l.Hold * time.Duration(l.Queued+1) / time.Duration(max(l.Limit, 1))
 }
 
 // Admission decides at the target's node which calls start, and when.
@@ -58,6 +72,8 @@
 	// Start returns the budget of a call that came without one, or an error
 	// with mwcode.CallerRatio where the caller resubmits too much.
 	Start(c *mwcall.Call) (mwunit.Attempts, error)
+	// Began notes a call that is about to be sent for the first time.
+	Began(c *mwcall.Call)
 	// Share returns how much of balance goes down with the next attempt.
 	Share(c *mwcall.Call, balance mwunit.Attempts) mwunit.Attempts
 	// Allow tells whether c may be tried again after an attempt ended in h.
--- a/mwlib/mwkernel/refusal.go
+++ b/mwlib/mwkernel/refusal.go
@@ -20,6 +20,9 @@
 // Unwrap returns r.Err.
 func (r *Refusal) Unwrap() error { return r.Err }
 
+// Refuse returns a Refusal with code c.
+func Refuse(c mwcode.Code, h mwcall.Head) error { return refuse(c, h) }
+
 // refuse returns a Refusal with code c.
 func refuse(c mwcode.Code, h mwcall.Head) error {
 	h.Code = c
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"mustardwheel.example/mwlib/mwcall"
@@ -22,6 +23,15 @@
 	prior   outcome // prior is the attempt that says most of those given up.
 	// redirects counts the free attempts so far.
 	redirects int
+	steps     []step
+	// reached are the targets whose backend server may have got the call, and
+	// declined those of them that said that they did not run it.
+	reached  triedSet
+	declined triedSet
+	// denied tells that the policy or the route allowed no further attempt. A
+	// whole run of the call's parent elsewhere would meet the same bound, and
+	// cost more.
+	denied bool
 }
 
 // maxRedirects is how often a call may go on, free of budget, from a target
@@ -47,13 +57,17 @@
 		return
 	}
 	k.classify(c, s, ok)
-	r := &routing{k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID]()}
+	r := &routing{
+		k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID](),
+		reached: mwset.New[mwid.NodeID](), declined: mwset.New[mwid.NodeID](),
+	}
 	if err := r.begin(ok); err != nil {
 		r.answer(outcome{err: err, h: mwcall.Head{Elsewhere: true}})
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, c.Deadline)
 	defer cancel()
+	k.retry.Began(c)
 	r.run(ctx)
 }
 
@@ -111,7 +125,8 @@
 	if r.balance < 1 {
 		return false
 	}
-	if !r.k.retry.Allow(r.c, h) {
+	if r.targetsUsedUp() && !h.Code.NotRun() || !r.k.retry.Allow(r.c, h) {
+		r.denied = true
 		return false
 	}
 	r.balance--
@@ -119,13 +134,22 @@
 	return true
 }
 
+// targetsUsedUp tells whether the call was sent to as many targets as its
+// route allows. It then goes again only to one of these that did not run it.
+func (r *routing) targetsUsedUp() bool {
+	most := r.c.Class.MaxTargets
+	return most > 0 && mwunit.Attempts(len(r.reached)) >= most
+}
+
 // redirected tells whether an attempt that ended with code c is followed by
-// one that costs no budget: its target is leaving or gone, which other nodes
-// may not have heard yet. No work was begun for it, so such attempts do not
-// multiply along a chain.
+// one that costs no budget: its target is leaving, gone or full, which other
+// nodes may not have heard yet. The target's node alone refused it, so that
+// no backend server had work of it, and such attempts do not multiply along a
+// chain.
 func (r *routing) redirected(c mwcode.Code) bool {
 	switch c {
-	case mwcode.Draining, mwcode.NoBackend, mwcode.ConnectFailed:
+	case mwcode.Draining, mwcode.NoBackend, mwcode.ConnectFailed,
+		mwcode.Overloaded, mwcode.DeadlineTooShort, mwcode.LaneFull:
 	default:
 		return false
 	}
@@ -137,15 +161,19 @@
 	return true
 }
 
-// giveUp drops an attempt that is followed by another one, and keeps in mind
-// whether it may have run.
+// giveUp notes an attempt that is followed by another one, and keeps in mind
+// whether it may have run. A failure that the backend server itself answered
+// is kept where it is whole, as the caller gets it where the next attempt
+// comes to less.
 func (r *routing) giveUp(o outcome) {
-	if o.ans != nil {
+	if o.ans != nil && (r.prior.ans != nil || !o.ans.Whole()) {
 		o.ans.Drop()
 		o.h.Code, o.h.Failed = mwcode.BackendUnavailable, false
 		o = outcome{h: o.h, err: mwcode.New(mwcode.BackendUnavailable)}
 	}
-	if r.prior.err == nil || r.prior.h.Code.NotRun() {
+	switch {
+	case r.prior.ans != nil:
+	case o.ans != nil, r.prior.err == nil, r.prior.h.Code.NotRun():
 		r.prior = o
 	}
 }
@@ -154,6 +182,13 @@
 // A call of which any attempt may have run is never said not to have run; and
 // that no target is left says less than why the others were given up.
 func (r *routing) verdict(o outcome) outcome {
+	if p := r.prior.ans; p != nil {
+		if o.err != nil {
+			return r.prior
+		}
+		p.Drop()
+		return o
+	}
 	if o.err == nil || r.prior.err == nil {
 		return o
 	}
@@ -168,9 +203,13 @@
 func (r *routing) answer(o outcome) {
 	o = r.verdict(o)
 	o.h.Unused = r.balance
+	if r.c.Parent != "" && !o.good() && (r.denied || o.h.Code.NotRun()) {
+		r.k.parents.fail(r.c.Parent)
+	}
 	if r.c.Origin == mwcall.Local && r.c.Parent != "" {
 		r.k.accounts.Restore(r.c.Parent, r.balance)
 	}
+	r.logEnd(mwcode.Of(o.err), o.h.Failed, o.h)
 	if o.err != nil {
 		r.k.stat.refused(mwcode.Of(o.err))
 		err := ofKey(r.c, o.err)
@@ -204,6 +243,7 @@
 	err error
 	// back is what came back of the budget that went down.
 	back mwunit.Attempts
+	step step
 	// unsent tells that no target was found to send the call to.
 	unsent bool
 }
@@ -214,7 +254,9 @@
 func (r *routing) try(ctx context.Context) outcome {
 	t, err := r.pick()
 	if err != nil {
-		return outcome{h: mwcall.Head{Code: mwcode.Of(err)}, err: err, unsent: true}
+		h, _ := RefusalOf(err)
+		h.Code = mwcode.Of(err)
+		return outcome{h: h, err: err, unsent: true}
 	}
 	if r.balance >= 1 && r.c.Class.Repeatable && r.ex.Held() {
 		if d, ok := r.k.retry.HedgeAfter(r.c); ok {
@@ -223,12 +265,32 @@
 	}
 	o := r.send(ctx, t, r.share())
 	r.balance += o.back
+	r.note(t, o)
 	return o
 }
 
-// pick returns a target that was not tried yet.
+// note keeps in mind what an attempt at t came to.
+func (r *routing) note(t mwcall.Target, o outcome) {
+	r.steps = append(r.steps, o.step)
+	if o.h.Code.NotRun() && o.h.Code != mwcode.BackendFull {
+		return
+	}
+	r.c.Repeated = true
+	r.reached.Add(t.Node)
+	if o.h.Code == mwcode.BackendFull {
+		r.declined.Add(t.Node)
+	}
+}
+
+// pick returns a target that was not tried yet or, where the route allows no
+// more targets, one that did not run the call.
 func (r *routing) pick() (mwcall.Target, error) {
-	t, err := r.k.router.Pick(r.c, r.k.member.Targets(r.c.Service), r.tried)
+	ts := r.k.member.Targets(r.c.Service)
+	if r.targetsUsedUp() {
+		ts = slices.DeleteFunc(slices.Clone(ts), func(t mwcall.Target) bool { return !r.declined.Has(t.Node) })
+		return r.k.router.Pick(r.c, ts, mwset.New[mwid.NodeID]())
+	}
+	t, err := r.k.router.Pick(r.c, ts, r.tried)
 	if err == nil {
 		r.tried.Add(t.Node)
 	}
@@ -257,7 +319,10 @@
 	}
 	done(h, s)
 	r.k.retry.Observe(&c, s)
-	return outcome{ans: ans, h: h, err: err, back: min(max(h.Unused, 0), give)}
+	return outcome{
+		ans: ans, h: h, err: err, back: min(max(h.Unused, 0), give),
+		step: step{t.Node, t.Zone, mwcode.Of(err), h.Failed, took, h.Threshold},
+	}
 }
 
 // headOf returns the head of an attempt. A refusal by another node says what
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -45,9 +45,10 @@
 	queued := time.Now()
 	release, err := k.admit.Admit(ctx, c)
 	if err != nil {
-		return nil, refuse(mwcode.Of(err), k.refusalHead(c, err))
+		k.logDeclined(c, mwcode.Of(err))
+		return nil, refuse(mwcode.Of(err), k.refusalHead(c, err, time.Since(queued)))
 	}
-	p := &passage{k: k, c: c, release: release, wait: time.Since(queued)}
+	p := &passage{k: k, c: c, release: release, came: queued, wait: time.Since(queued)}
 	ans, err := p.run(ctx, ex, a)
 	if err != nil {
 		p.end(mwcode.Of(err), false, ctx.Err() != nil)
@@ -57,12 +58,12 @@
 }
 
 // refusalHead returns the head of a refusal by admission.
-func (k *Kernel) refusalHead(c *mwcall.Call, err error) mwcall.Head {
-	code := mwcode.Of(err)
+func (k *Kernel) refusalHead(c *mwcall.Call, err error, spent time.Duration) mwcall.Head {
+	code, l := mwcode.Of(err), k.admit.Load(c.Service)
 	return mwcall.Head{
 		Unused:    c.Budget,
 		Elsewhere: code != mwcode.DeadlinePassed && code != mwcode.CallerGone,
-		Threshold: k.admit.Load(c.Service).Threshold,
+		Threshold: l.Threshold, RetryAfter: l.RetryAfter(), Report: l.Report(spent),
 	}
 }
 
@@ -72,6 +73,7 @@
 	c       *mwcall.Call
 	claim   Claim
 	release Release
+	came    time.Time
 	wait    time.Duration
 	start   time.Time
 	first   time.Duration
@@ -95,9 +97,13 @@
 		ctx = p.detach(ctx)
 	}
 	p.k.accounts.Open(p.c.Attempt, parentOf(p.c), p.c.Budget)
+	told := *p.c
+	told.Deadline = p.c.Deadline.Add(-p.k.set.Relay.Margin)
+	p.k.parents.begin(&told)
 	p.start = time.Now()
-	ans, err := ex.Deliver(ctx, p.c, a)
+	ans, err := ex.Deliver(ctx, &told, a)
 	p.first = time.Since(p.start)
+	below := p.k.parents.end(p.c.Attempt)
 	unused := p.k.accounts.Close(p.c.Attempt)
 	if err != nil {
 		return nil, p.failed(err, unused)
@@ -105,7 +111,7 @@
 	if ans.Whole() {
 		p.end(mwcode.OK, ans.Head().Failed, false)
 	}
-	return &delivered{Answer: ans, p: p, unused: unused}, nil
+	return &delivered{Answer: ans, p: p, unused: unused, below: below}, nil
 }
 
 // detach returns a context for a claimed call that ends with the call's
@@ -194,6 +200,7 @@
 	Answer
 	p      *passage
 	unused mwunit.Attempts
+	below  bool // below tells that a call failed which the backend server made.
 }
 
 // Head returns the head of the answer with the unused budget and the present
@@ -201,7 +208,9 @@
 func (d *delivered) Head() mwcall.Head {
 	h := d.Answer.Head()
 	h.Unused = d.unused
-	h.Threshold = d.p.k.admit.Load(d.p.c.Service).Threshold
+	l := d.p.k.admit.Load(d.p.c.Service)
+	h.Threshold, h.Report = l.Threshold, l.Report(time.Since(d.p.came))
+	h.Elsewhere = h.Elsewhere && !d.below
 	return h
 }
 
--- a/mwlib/mwkernel/stat.go
+++ b/mwlib/mwkernel/stat.go
@@ -15,6 +15,8 @@
 	redirects *metrics.Counter
 	hedges    *metrics.Counter
 	cut       *metrics.Counter
+	adopted   *metrics.Counter
+	orphans   *metrics.Counter
 }
 
 func newStats(s *metrics.Set) *stats {
@@ -23,10 +25,21 @@
 		retries:   s.GetOrCreateCounter("mw_retries_total"),
 		redirects: s.GetOrCreateCounter("mw_redirects_total"),
 		hedges:    s.GetOrCreateCounter("mw_hedges_total"),
+		adopted:   s.GetOrCreateCounter("mw_calls_adopted_total"),
+		orphans:   s.GetOrCreateCounter("mw_calls_without_parent_total"),
 		cut:       s.GetOrCreateCounter("mw_answers_cut_total"),
 	}
 }
 
+// found counts a call whose parent was looked for.
+func (s *stats) found(ok bool) {
+	if ok {
+		s.adopted.Inc()
+		return
+	}
+	s.orphans.Inc()
+}
+
 // refused counts one call that ended with code c.
 func (s *stats) refused(c mwcode.Code) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`mw_refusals_total{code="%d"}`, int(c))).Inc()
--- a/mwlib/mwretry/chain.go
+++ b/mwlib/mwretry/chain.go
@@ -79,6 +79,9 @@
 	return c.Class.Retries, nil
 }
 
+// Began does nothing: what is counted are answers.
+func (p *Chain[S]) Began(*mwcall.Call) {}
+
 // Share returns the part of balance that S gives down.
 func (p *Chain[S]) Share(_ *mwcall.Call, balance mwunit.Attempts) mwunit.Attempts {
 	return p.split.Of(balance)
--- a/mwlib/mwretry/perhop.go
+++ b/mwlib/mwretry/perhop.go
@@ -55,3 +55,6 @@
 
 // Observe does nothing.
 func (off) Observe(*mwcall.Call, mwcall.Sample) {}
+
+// Began does nothing.
+func (off) Began(*mwcall.Call) {}
--- /dev/null
+++ b/mwlib/mwretry/window.go
@@ -0,0 +1,119 @@
+package mwretry
+
+import (
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"mustardwheel.example/mwlib/mwbudget"
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// WindowName is the name of the policy Window in the settings.
+const WindowName mwregistry.Name = "window"
+
+// Window is a retry policy for platforms that bound the repetitions of a
+// service by its requests in a span of time, over all nodes. It answers a
+// service that refuses or fails a part of its calls for some seconds.
+//
+// Each node keeps within its own part, so that all together do. A call that a
+// repeated run makes counts as a repetition too. As what is allowed does not
+// last for all, the more important calls may use all of it and the least
+// important ones a part: without that, the many calls of little importance
+// would leave nothing to the few of great one.
+type Window struct {
+	chain   mwunit.Attempts
+	windows *mwbudget.Windows[mwid.ServiceName]
+	ranks   *mwshard.Map[mwid.ServiceName, rank]
+	denied  *metrics.Counter
+}
+
+// rank is the range of importance that a service's calls had lately.
+type rank struct {
+	least, most mwunit.Importance
+	since       time.Time
+}
+
+// Parameters of Window.
+const (
+	// leastShare is the part of the repetitions that the least important
+	// calls of a service may use.
+	leastShare = 0.25
+	// rankSpan is how long a range of importance holds.
+	rankSpan = 20 * time.Second
+)
+
+func init() { mwkernel.RetryPolicies.Register(WindowName, newWindow) }
+
+func newWindow(env mwkernel.Env) (mwkernel.RetryPolicy, mwregistry.Cleanup, error) {
+	set := env.Settings.Retry
+	return &Window{
+		chain:   set.Chain,
+		windows: mwbudget.NewWindows[mwid.ServiceName](set.Window, set.WindowRatio, set.TokenReserve),
+		ranks:   mwshard.New[mwid.ServiceName, rank](mwshard.DefaultShards),
+		denied:  env.Metrics.GetOrCreateCounter("mw_retry_no_token_total"),
+	}, nil, nil
+}
+
+// Start returns the budget of a root call, for all calls below it.
+func (w *Window) Start(c *mwcall.Call) (mwunit.Attempts, error) {
+	if c.Class.Retries == 0 {
+		return 0, nil
+	}
+	return max(c.Class.Retries, w.chain), nil
+}
+
+// Began counts the first attempt of a call.
+func (w *Window) Began(c *mwcall.Call) {
+	now := time.Now()
+	if c.Repeated {
+		w.windows.Repeat(c.Service, now)
+		return
+	}
+	w.windows.First(c.Service, now)
+	w.ranks.Update(c.Service, func(r rank, ok bool) (rank, bool) {
+		i := c.Class.Importance
+		if !ok || now.Sub(r.since) > rankSpan {
+			return rank{i, i, now}, true
+		}
+		r.least, r.most = min(r.least, i), max(r.most, i)
+		return r, true
+	})
+}
+
+// Share gives all of the balance down: what is not used comes back.
+func (w *Window) Share(_ *mwcall.Call, balance mwunit.Attempts) mwunit.Attempts { return balance }
+
+// Allow tells whether the span has room for one more repetition of c.
+func (w *Window) Allow(c *mwcall.Call, _ mwcall.Head) bool {
+	r, _ := w.ranks.Get(c.Service)
+	ok := w.windows.Spend(c.Service, r.share(c.Class.Importance), time.Now())
+	if !ok {
+		w.denied.Inc()
+	}
+	return ok
+}
+
+// share returns the part of the repetitions that calls of importance i may
+// use.
+func (r rank) share(i mwunit.Importance) mwunit.Ratio {
+	if r.most <= r.least {
+		return 1
+	}
+	part := float64(min(max(i, r.least), r.most)-r.least) / float64(r.most-r.least)
+	return mwunit.Ratio(leastShare + (1-leastShare)*part)
+}
+
+// Succeeded does nothing: successes earn nothing.
+func (w *Window) Succeeded(*mwcall.Call) {}
+
+// HedgeAfter hedges nothing.
+func (w *Window) HedgeAfter(*mwcall.Call) (time.Duration, bool) { return 0, false }
+
+// Observe does nothing.
+func (w *Window) Observe(*mwcall.Call, mwcall.Sample) {}
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -54,6 +54,9 @@
 	maxBuffer      mwunit.Bytes = 16 << 20
 )
 
+// maxChain bounds the retries of a whole request.
+const maxChain mwunit.Attempts = 100
+
 // Check returns every fault of n, joined; each has the code
 // mwcode.BadSetting and names the flag and what was expected.
 func (n *Node) Check() error {
@@ -115,6 +118,9 @@
 
 func (c *checker) retry(r Retry) {
 	c.ratio(r.TokenRatio, "retry.token-ratio")
+	c.ratio(r.WindowRatio, "retry.window-ratio")
+	c.positive(r.Window, "retry.window")
+	c.must(r.Chain >= 0 && r.Chain <= maxChain, "retry.chain", "0 to 100")
 	c.must(r.TokenReserve >= 0, "retry.token-reserve", "at least 0")
 	c.must(r.CallerReserve >= 0, "retry.caller-reserve", "at least 0")
 }
@@ -145,4 +151,5 @@
 		"relay.header-bytes", "4096 to 1048576 bytes")
 	c.positive(r.Idle, "relay.idle")
 	c.positive(r.Drain, "relay.drain")
+	c.must(r.Margin >= 0, "relay.margin", "at least 0s")
 }
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -81,7 +81,7 @@
 type Admit struct {
 	Queue       mwunit.Slots    `long:"queue" env:"QUEUE" default:"256" description:"calls that may wait for each service and lane"`
 	Wait        time.Duration   `long:"wait" env:"WAIT" default:"50ms" description:"time within which calls that wait should start; sets how many may wait below --admit.queue"`
-	Limiter     mwregistry.Name `long:"limiter" env:"LIMITER" default:"gradient" description:"how the limit of calls in flight follows what is seen: gradient (on latency) or aimd (on queue time)"`
+	Limiter     mwregistry.Name `long:"limiter" env:"LIMITER" default:"gradient" description:"how the limit of calls in flight follows what is seen: gradient (on latency), aimd (on queue time) or slots (as announced)"`
 	MediumShare mwunit.Ratio    `long:"medium-share" env:"MEDIUM_SHARE" default:"0.7" description:"greatest part of the slots that medium and long work hold together, 0 to 1"`
 	LongShare   mwunit.Ratio    `long:"long-share" env:"LONG_SHARE" default:"0.4" description:"greatest part of the slots that long work holds, 0 to 1"`
 	MediumAfter time.Duration   `long:"medium-after" env:"MEDIUM_AFTER" default:"200ms" description:"time from which on work counts as medium"`
@@ -101,6 +101,9 @@
 	TokenRatio    mwunit.Ratio    `long:"token-ratio" env:"TOKEN_RATIO" default:"0.1" description:"retries earned by each success, for each target service"`
 	TokenReserve  mwunit.Attempts `long:"token-reserve" env:"TOKEN_RESERVE" default:"10" description:"most retries that each target service's successes can save up, calls"`
 	CallerReserve mwunit.Attempts `long:"caller-reserve" env:"CALLER_RESERVE" default:"10" description:"most resubmissions that each caller's first calls can save up, calls"`
+	Chain         mwunit.Attempts `long:"chain" env:"CHAIN" default:"8" description:"retries of a whole request, for all calls below it, where the policy is window"`
+	Window        time.Duration   `long:"window" env:"WINDOW" default:"10s" description:"span over which the policy window counts"`
+	WindowRatio   mwunit.Ratio    `long:"window-ratio" env:"WINDOW_RATIO" default:"0.2" description:"repetitions in a span as a part of the first tries, where the policy is window"`
 	Hedge         bool            `long:"hedge" env:"HEDGE" description:"hedge short repeatable calls"`
 }
 
@@ -122,5 +125,6 @@
 	Buffer      mwunit.Bytes  `long:"buffer" env:"BUFFER" default:"65536" description:"largest request body that is held for a retry, bytes"`
 	HeaderBytes mwunit.Bytes  `long:"header-bytes" env:"HEADER_BYTES" default:"65536" description:"largest header, bytes"`
 	Idle        time.Duration `long:"idle" env:"IDLE" default:"10s" description:"longest silence of a connection with a call on it"`
+	Margin      time.Duration `long:"margin" env:"MARGIN" default:"0s" description:"part of a call's time that the backend server is not told of, so that its own answer at the end of its time still arrives"`
 	Drain       time.Duration `long:"drain" env:"DRAIN" default:"60s" description:"longest wait for calls in flight at the end"`
 }
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/jessevdk/go-flags"
@@ -18,6 +19,7 @@
 	"mustardwheel.example/mwlib/mwbuild"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwhost"
+	"mustardwheel.example/mwlib/mwlog"
 	"mustardwheel.example/mwlib/mwsetting"
 	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
 	_ "mustardwheel.example/platform"         // Registers the adapter to the users' platform.
@@ -47,11 +49,11 @@
 	if _, err := p.AddGroup("Node", "", &a); err != nil {
 		return report(err)
 	}
-	args, err := withFile(args)
+	fromFile, err := withFile(nil)
 	if err != nil {
 		return report(err)
 	}
-	_, err = p.ParseArgs(args)
+	_, err = p.ParseArgs(append(slices.Clone(fromFile), args...))
 	if a.Version {
 		fmt.Println(mwbuild.String())
 		return exitOK
@@ -70,7 +72,7 @@
 		fmt.Print(mwsetting.Print(p))
 		return exitOK
 	}
-	return serve(&a)
+	return serve(&a, fromFile)
 }
 
 // withFile puts the settings of the file that a platform placed before args.
@@ -90,12 +92,14 @@
 }
 
 // serve runs the node until a signal or an operator ends it.
-func serve(a *arguments) int {
+func serve(a *arguments, fromFile []string) int {
 	level := slog.LevelInfo
 	if a.Debug {
 		level = slog.LevelDebug
 	}
-	log := slog.New(slog.NewJSONHandler(os.Stdout, &slog.HandlerOptions{Level: level}))
+	w, endLog := mwlog.New(os.Stdout)
+	defer endLog()
+	log := mwlog.NewLogger(w, level)
 	h, end, err := mwhost.New(&a.Node, mwhost.WithLog(log))
 	if err != nil {
 		log.Error("not started", "Code", int(mwcode.Of(err)), "Error", err.Error())
@@ -104,6 +108,7 @@
 	defer end()
 	log.Info("started", "Node", h.Kernel().Self().Node, "Entry", h.Entry(), "Local", h.Local(),
 		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwbuild.String())
+	defer watchSettings(log, fromFile)()
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
--- /dev/null
+++ b/mwnode/signal.go
@@ -0,0 +1,99 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"os/signal"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwtimer"
+)
+
+// lookPeriod is the time between two looks at the settings file, which may
+// change without a signal.
+const lookPeriod = 2 * time.Second
+
+// watchSettings logs each change of the settings file, on SIGHUP and without.
+// Every setting takes effect at the next start: a node is restarted without
+// loss, and a change of a listener's address could not be anything else. The
+// returned function ends it.
+func watchSettings(log *slog.Logger, args []string) func() {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watcher{log: log, now: args}
+	var wg sync.WaitGroup
+	wg.Go(func() { w.run(ctx, hup) })
+	return func() {
+		signal.Stop(hup)
+		cancel()
+		wg.Wait()
+	}
+}
+
+// watcher compares the settings file with what it was.
+type watcher struct {
+	log  *slog.Logger
+	now  []string
+	from time.Time // from is when the file was last modified.
+}
+
+func (w *watcher) run(ctx context.Context, hup <-chan os.Signal) {
+	t := mwtimer.NewTicker(lookPeriod)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			w.log.Info("reload asked for")
+			w.look()
+		case <-t.C:
+			if w.touched() {
+				w.look()
+			}
+		}
+	}
+}
+
+// touched tells whether the file was modified since the last look.
+func (w *watcher) touched() bool {
+	path, err := mwsetting.Locate()
+	if err != nil || path == "" {
+		return false
+	}
+	i, err := os.Stat(path)
+	if err != nil {
+		w.log.Warn("settings file not seen", "Path", path, "Error", err)
+		return false
+	}
+	old := w.from
+	w.from = i.ModTime()
+	return !old.IsZero() && !old.Equal(w.from)
+}
+
+// look reads the file and logs what changed. A file that can't be read
+// changes nothing.
+func (w *watcher) look() {
+	args, err := withFile(nil)
+	if err != nil {
+		w.log.Error("settings not read", "Code", int(mwcode.Of(err)), "Error", err)
+		return
+	}
+	if slices.Equal(args, w.now) {
+		w.log.Info("settings unchanged")
+		return
+	}
+	for _, a := range args {
+		if !slices.Contains(w.now, a) {
+			w.log.Warn("setting takes effect at the next start", "Setting", a)
+		}
+	}
+	w.now = args
+}
