--- a/mwlib/mwadmit/adaptive.go
+++ b/mwlib/mwadmit/adaptive.go
@@ -98,6 +98,13 @@
 	return g.load()
 }
 
+// Hold returns the mean time for which calls of the route of c hold their
+// slot.
+func (a *Adaptive[P]) Hold(c *mwcall.Call) time.Duration {
+	p, _ := a.paces.Get(paceKey{c.Service, c.Class.Route})
+	return p.mean
+}
+
 // goneCode returns the code for a call whose ctx is done.
 func goneCode(ctx context.Context) mwcode.Code {
 	if ctx.Err() == context.DeadlineExceeded {
--- a/mwlib/mwadmit/fixed.go
+++ b/mwlib/mwadmit/fixed.go
@@ -136,3 +136,9 @@
 
 // Load returns nothing.
 func (None) Load(mwid.ServiceName) mwkernel.Load { return mwkernel.Load{} }
+
+// Hold returns nothing.
+func (None) Hold(*mwcall.Call) time.Duration { return 0 }
+
+// Hold returns nothing: Fixed does not look at times.
+func (f *Fixed) Hold(*mwcall.Call) time.Duration { return 0 }
--- a/mwlib/mwcall/report.go
+++ b/mwlib/mwcall/report.go
@@ -17,6 +17,8 @@
 	// Hold is the mean time that a call holds its slot; 0 where it is not
 	// known.
 	Hold time.Duration
+	// Route is the same for the calls of this call's route.
+	Route time.Duration
 	// Spent is the time that the call spent at the target's node, in its
 	// queue and at its backend server.
 	Spent time.Duration
--- a/mwlib/mwcall/result.go
+++ b/mwlib/mwcall/result.go
@@ -26,6 +26,8 @@
 	RetryAfter time.Duration
 	// Report is the target's load.
 	Report Report
+	// Size is the size of the answer's body; 0 where it is not known.
+	Size mwunit.Bytes
 }
 
 // Sample is what was seen of one finished call.
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -221,17 +221,17 @@
 // Drain takes no new work, tells the other nodes so, and returns nil when the
 // last call is over, or an error when ctx is done before.
 //
-// The listeners stay open for drainLinger: other nodes that have not heard of
-// the drain get a refusal which tells that their call did not run, and each
-// answer asks its caller to close the connection. Closing idle connections
-// at once would break requests that are on their way.
+// The listeners stay open for drainLinger: callers that have not heard of the
+// drain are still served, by other targets, other nodes get a refusal which
+// tells that their call did not run, and each answer asks its caller to close
+// the connection. Closing idle connections at once would break requests that
+// are on their way. After that no request is taken, so that those in flight
+// come to an end even where callers never stop.
 func (h *Host) Drain(ctx context.Context) error {
 	h.log.Info("draining", "Node", h.kernel.Self().Node)
 	linger := mwtimer.NewTimer(drainLinger)
 	defer linger.Stop()
-	if err := h.kernel.Drain(ctx); err != nil {
-		return fmt.Errorf("mwhost: draining: %w", err)
-	}
+	idle := h.kernel.Leave()
 	select {
 	case <-linger.C:
 	case <-ctx.Done():
@@ -243,7 +243,15 @@
 		}
 		g.Go(func() error { return l.server.Shutdown(ctx) })
 	}
-	return g.Wait()
+	if err := g.Wait(); err != nil {
+		return fmt.Errorf("mwhost: draining: %w", err)
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return fmt.Errorf("mwhost: draining: %w", context.Cause(ctx))
+	}
 }
 
 // closing asks the client to close its connection while the node drains.
@@ -289,5 +297,11 @@
 // Peer returns the address of the listener for other nodes.
 func (h *Host) Peer() mwid.Address { return h.peer.addr() }
 
+// Control returns the address of the listener for announcements.
+func (h *Host) Control() mwid.Address { return h.control.addr() }
+
+// Ready returns the address of the listener for readiness.
+func (h *Host) Ready() mwid.Address { return h.ready.addr() }
+
 // Admin returns the address of the listener for operators.
 func (h *Host) Admin() mwid.Address { return h.admin.addr() }
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -14,6 +14,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // exchange is one call over HTTP: the request as it came and the writer of
@@ -50,6 +51,7 @@
 		return nil, &mwkernel.Refusal{Head: a.head, Err: mwcode.New(a.head.Code)}
 	}
 	a.head.Failed = Failed(resp.StatusCode)
+	a.head.Size = mwunit.Bytes(max(resp.ContentLength, 0))
 	if a.head.Failed {
 		if err := a.gather(ctx, false); err != nil {
 			return nil, err
--- a/mwlib/mwhttp/header.go
+++ b/mwlib/mwhttp/header.go
@@ -268,16 +268,16 @@
 	}
 }
 
-// encodeReport writes r as five numbers: calls in flight, queued, the limit,
-// and two times in microseconds.
+// encodeReport writes r as six numbers: calls in flight, queued, the limit,
+// and three times in microseconds.
 func encodeReport(r mwcall.Report) string {
-	return fmt.Sprintf("%d,%d,%d,%d,%d", r.InFlight, r.Queued, r.Limit,
-		r.Hold.Microseconds(), r.Spent.Microseconds())
+	return fmt.Sprintf("%d,%d,%d,%d,%d,%d", r.InFlight, r.Queued, r.Limit,
+		r.Hold.Microseconds(), r.Spent.Microseconds(), r.Route.Microseconds())
 }
 
 // decodeReport reads what encodeReport wrote; anything else says nothing.
 func decodeReport(s string) mwcall.Report {
-	var n [5]int64
+	var n [6]int64
 	parts := strings.Split(s, ",")
 	if len(parts) != len(n) {
 		return mwcall.Report{}
@@ -292,5 +292,6 @@
 	return mwcall.Report{
 		InFlight: mwunit.Slots(n[0]), Queued: mwunit.Slots(n[1]), Limit: mwunit.Slots(n[2]),
 		Hold: time.Duration(n[3]) * time.Microsecond, Spent: time.Duration(n[4]) * time.Microsecond,
+		Route: time.Duration(n[5]) * time.Microsecond,
 	}
 }
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -174,11 +174,18 @@
 	return as
 }
 
+// Leave takes no new work for this VM's backend server and makes that known.
+// The returned channel is closed when no call is left here.
+func (k *Kernel) Leave() <-chan struct{} {
+	idle := k.life.leave()
+	k.member.Leave()
+	return idle
+}
+
 // Drain takes no new work, lets the calls in flight end and returns nil, or
 // the error of ctx where that takes longer.
 func (k *Kernel) Drain(ctx context.Context) error {
-	idle := k.life.leave()
-	k.member.Leave()
+	idle := k.Leave()
 	select {
 	case <-idle:
 		return nil
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -279,6 +279,8 @@
 
 func (a admission) Announce(mwcall.Announcement) {}
 
+func (a admission) Hold(*mwcall.Call) time.Duration { return 0 }
+
 func (a admission) Load(mwid.ServiceName) mwkernel.Load { return mwkernel.Load{} }
 
 func (a admission) Admit(context.Context, *mwcall.Call) (mwkernel.Release, error) {
--- a/mwlib/mwkernel/point.go
+++ b/mwlib/mwkernel/point.go
@@ -35,12 +35,6 @@
 	Hold time.Duration
 }
 
-// Report returns l as it goes to other nodes with a call that spent so long
-// here.
-func (l Load) Report(spent time.Duration) mwcall.Report {
-	return mwcall.Report{InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Hold: l.Hold, Spent: spent}
-}
-
 // RetryAfter returns the time until those who wait now have started.
 func (l Load) RetryAfter() time.Duration {
 	return l.Hold * time.Duration(l.Queued+1) / time.Duration(max(l.Limit, 1))
@@ -55,6 +49,9 @@
 	Admit(ctx context.Context, c *mwcall.Call) (Release, error)
 	// Load returns the present state of a service.
 	Load(s mwid.ServiceName) Load
+	// Hold returns the mean time for which calls of the route of c hold their
+	// slot; 0 where it is not known.
+	Hold(c *mwcall.Call) time.Duration
 }
 
 // Router picks targets.
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -282,21 +282,30 @@
 	}
 }
 
-// pick returns a target that was not tried yet or, where the route allows no
-// more targets, one that did not run the call.
+// pick returns a target that was not tried yet. Where none is left or the
+// call's route allows no more, it is one that did not run the call.
 func (r *routing) pick() (mwcall.Target, error) {
 	ts := r.k.member.Targets(r.c.Service)
 	if r.targetsUsedUp() {
-		ts = slices.DeleteFunc(slices.Clone(ts), func(t mwcall.Target) bool { return !r.declined.Has(t.Node) })
-		return r.k.router.Pick(r.c, ts, mwset.New[mwid.NodeID]())
+		return r.pickDeclined(ts)
 	}
 	t, err := r.k.router.Pick(r.c, ts, r.tried)
+	if err != nil && r.c.Class.MaxTargets > 0 && len(r.declined) > 0 {
+		return r.pickDeclined(ts)
+	}
 	if err == nil {
 		r.tried.Add(t.Node)
 	}
 	return t, err
 }
 
+// pickDeclined returns one of the targets that said that they did not run the
+// call.
+func (r *routing) pickDeclined(ts []mwcall.Target) (mwcall.Target, error) {
+	ts = slices.DeleteFunc(slices.Clone(ts), func(t mwcall.Target) bool { return !r.declined.Has(t.Node) })
+	return r.k.router.Pick(r.c, ts, mwset.New[mwid.NodeID]())
+}
+
 // share takes what goes down with the next attempt from the balance.
 func (r *routing) share() mwunit.Attempts {
 	give := min(max(r.k.retry.Share(r.c, r.balance), 0), r.balance)
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -63,7 +63,15 @@
 	return mwcall.Head{
 		Unused:    c.Budget,
 		Elsewhere: code != mwcode.DeadlinePassed && code != mwcode.CallerGone,
-		Threshold: l.Threshold, RetryAfter: l.RetryAfter(), Report: l.Report(spent),
+		Threshold: l.Threshold, RetryAfter: l.RetryAfter(), Report: k.report(c, l, spent),
+	}
+}
+
+// report returns l as it goes to other nodes with c, which spent so long here.
+func (k *Kernel) report(c *mwcall.Call, l Load, spent time.Duration) mwcall.Report {
+	return mwcall.Report{
+		InFlight: l.InFlight, Queued: l.Queued, Limit: l.Limit, Hold: l.Hold,
+		Route: k.admit.Hold(c), Spent: spent,
 	}
 }
 
@@ -209,7 +217,7 @@
 	h := d.Answer.Head()
 	h.Unused = d.unused
 	l := d.p.k.admit.Load(d.p.c.Service)
-	h.Threshold, h.Report = l.Threshold, l.Report(time.Since(d.p.came))
+	h.Threshold, h.Report = l.Threshold, d.p.k.report(d.p.c, l, time.Since(d.p.came))
 	h.Elsewhere = h.Elsewhere && !d.below
 	return h
 }
--- a/mwlib/mwroute/expect.go
+++ b/mwlib/mwroute/expect.go
@@ -36,9 +36,29 @@
 	here   mwcall.Target
 	epoch  time.Time
 	states *mwshard.Map[targetKey, expectation]
+	kinds  *mwshard.Cache[kindKey, kind]
 	meter  *meter
 }
 
+// kindKey is what the calls of one kind have in common.
+type kindKey struct {
+	service mwid.ServiceName
+	route   mwid.Route
+}
+
+func kindOf(c *mwcall.Call) kindKey { return kindKey{c.Service, c.Class.Route} }
+
+// kind has the moving averages of what is seen of the calls of one kind.
+type kind struct {
+	size float64 // size is that of answers, in bytes.
+	// hold is the time that such a call holds a slot, as a part of that of all
+	// calls of the target; 0 where it is not known.
+	hold float64
+}
+
+// rememberedKinds is the number of kinds of calls that are remembered.
+const rememberedKinds = 512
+
 func init() { mwkernel.Routers.Register(ExpectName, newExpect) }
 
 func newExpect(env mwkernel.Env) (mwkernel.Router, mwregistry.Cleanup, error) {
@@ -48,6 +68,7 @@
 		},
 		epoch:  time.Now(),
 		states: mwshard.New[targetKey, expectation](mwshard.DefaultShards),
+		kinds:  mwshard.NewCache[kindKey, kind](rememberedKinds),
 		meter:  newMeter(env.Metrics),
 	}
 	return x, mwtimer.Every(sweepPeriod, x.sweep), nil
@@ -74,14 +95,14 @@
 // Pick returns the target for c.
 func (x *Expect) Pick(c *mwcall.Call, ts []mwcall.Target, tried mwset.Set[mwid.NodeID]) (mwcall.Target, error) {
 	now := time.Now()
-	typical := x.typical(ts)
+	l := x.look(c, ts, now)
 	best := expected{fit: gone}
 	for i := range ts {
 		t := &ts[i]
 		if t.State == mwcall.Leaving || tried.Has(t.Node) {
 			continue
 		}
-		e := x.expect(c, t, typical, now)
+		e := x.expect(&l, t)
 		if e.fit < best.fit || e.fit == best.fit && e.score < best.score {
 			best = e
 		}
@@ -97,6 +118,22 @@
 	return *best.target, nil
 }
 
+// look is what all targets are judged by in one choice.
+type look struct {
+	c       *mwcall.Call
+	now     time.Time
+	typical time.Duration // typical is the median hold of the targets.
+	kind    kind
+	left    time.Duration // left is the time that c has; 0 is no bound.
+}
+
+func (x *Expect) look(c *mwcall.Call, ts []mwcall.Target, now time.Time) look {
+	l := look{c: c, now: now, typical: x.typical(ts)}
+	l.kind, _ = x.kinds.Get(kindOf(c))
+	l.left, _ = c.Remaining(now)
+	return l
+}
+
 // typical returns the median time that calls hold the slots of ts, which is
 // what is expected of a target that nothing is known of.
 func (x *Expect) typical(ts []mwcall.Target) time.Duration {
@@ -121,10 +158,28 @@
 	// another one at 20 ms one way.
 	wayNear = time.Millisecond
 	wayFar  = 41 * time.Millisecond
-	// farPenalty is how much longer an answer from the own region may take
-	// than one from another region, whose bytes cost 7 times those between
-	// zones: about the way there and back once more.
-	farPenalty = 30 * time.Millisecond
+	// farPenalty and farPerKB are how much longer an answer from the own
+	// region may take than one from another region, for a call and for each
+	// 1,000 bytes of its answer: bytes between regions cost 7 times those
+	// between zones, and 1,000 of them a twentieth of a plain call's worth.
+	farPenalty = 40 * time.Millisecond
+	farPerKB   = 15 * time.Millisecond
+	// zonePenalty and zonePerKB are the same for another availability zone.
+	zonePenalty = 3 * time.Millisecond
+	zonePerKB   = 2 * time.Millisecond
+	// kindWeight is the weight of one answer in what is known of its kind.
+	kindWeight = 0.1
+	// A straggler takes stragglerFactor times as long as other calls, and
+	// stragglerShare of the calls are stragglers: what the users report of
+	// their work.
+	stragglerFactor = 6
+	stragglerShare  = 0.03
+	// What a straggler costs that ends after its time: lostOnce where the
+	// call is not made again, lostAgain where it may be, and late where only
+	// the objective is missed; in the time that is worth as much.
+	lostOnce  = 3600 * time.Millisecond
+	lostAgain = 1200 * time.Millisecond
+	late      = 800 * time.Millisecond
 	// suspectPenalty is for targets that were not heard lately.
 	suspectPenalty = 200 * time.Millisecond
 	// failPenalty is what a failed answer costs: the time of a second try.
@@ -143,25 +198,51 @@
 	wayWeight = 0.2
 )
 
-// expect returns what c can expect of t.
-func (x *Expect) expect(c *mwcall.Call, t *mwcall.Target, typical time.Duration, now time.Time) expected {
+// expect returns what a call can expect of t.
+func (x *Expect) expect(l *look, t *mwcall.Target) expected {
 	s, _ := x.states.Get(keyOf(*t))
 	d := distanceOf(x.here, *t)
-	took := s.way(d) + s.time(t, typical, now)
-	took = max(took, s.waiting.age(now.Sub(x.epoch)))
-	score := took + time.Duration(s.failed*float64(failPenalty))
-	if d == otherRegion {
-		score += farPenalty
-	}
+	before, hold := s.way(d)+s.wait(l, t), s.hold(l)
+	took := max(before+hold, s.waiting.age(l.now.Sub(x.epoch)))
+	score := took + time.Duration(s.failed*float64(failPenalty)) + l.risk(before, hold) + l.price(d)
 	if t.State != mwcall.Up {
 		score += suspectPenalty * time.Duration(t.State)
 	}
 	score += time.Duration((rand.Float64() - 0.5) * noise * float64(took))
-	return expected{target: t, score: score, took: took, fit: s.fitness(c, now)}
+	return expected{target: t, score: score, took: took, fit: s.fitness(l.c, l.now)}
+}
+
+// price returns what the bytes to a target at d cost, as a time.
+func (l *look) price(d distance) time.Duration {
+	kb := l.kind.size / 1000
+	switch d {
+	case otherRegion:
+		return farPenalty + time.Duration(kb*float64(farPerKB))
+	case sameRegion:
+		return zonePenalty + time.Duration(kb*float64(zonePerKB))
+	}
+	return 0
+}
+
+// risk returns what is lost by stragglers where a call starts after before and
+// holds its slot for hold, as a time. It sends work that has little time to
+// spare to faster targets.
+func (l *look) risk(before, hold time.Duration) time.Duration {
+	end := before + stragglerFactor*hold
+	cost := time.Duration(0)
+	switch objective := l.c.Class.Objective; {
+	case l.left > 0 && end > l.left && !l.c.Class.Repeatable:
+		cost = lostOnce
+	case l.left > 0 && end > l.left:
+		cost = lostAgain
+	case objective > 0 && end > objective:
+		cost = late
+	}
+	return time.Duration(stragglerShare * float64(cost))
 }
 
 // Begin notes that c is sent to t.
-func (x *Expect) Begin(_ *mwcall.Call, t mwcall.Target) func(mwcall.Head, mwcall.Sample) {
+func (x *Expect) Begin(c *mwcall.Call, t mwcall.Target) func(mwcall.Head, mwcall.Sample) {
 	k, now := keyOf(t), time.Now()
 	since := now.Sub(x.epoch)
 	x.states.Update(k, func(e expectation, _ bool) (expectation, bool) {
@@ -171,7 +252,9 @@
 		return e, true
 	})
 	x.meter.begun(distanceOf(x.here, t))
+	kk := kindOf(c)
 	return func(h mwcall.Head, m mwcall.Sample) {
+		x.kinds.Update(kk, func(v kind) kind { return v.learn(h) })
 		x.states.Update(k, func(e expectation, ok bool) (expectation, bool) {
 			if !ok {
 				return e, false
@@ -184,6 +267,17 @@
 	}
 }
 
+// learn returns k after an answer with h.
+func (k kind) learn(h mwcall.Head) kind {
+	if h.Size > 0 {
+		k.size += kindWeight * (float64(h.Size) - k.size)
+	}
+	if r := h.Report; r.Hold > 0 && r.Route > 0 {
+		k.hold += kindWeight * (float64(r.Route)/float64(r.Hold) - k.hold)
+	}
+	return k
+}
+
 // expectation is what this node knows of one target.
 type expectation struct {
 	inFlight int // inFlight counts the calls of this node.
@@ -213,22 +307,36 @@
 	return wayNear
 }
 
-// time returns the time that a call will spend at the target's node.
-func (e *expectation) time(t *mwcall.Target, typical time.Duration, now time.Time) time.Duration {
-	hold, limit := e.report.Hold, float64(max(t.Slots, 1))
-	if hold == 0 {
-		hold = typical
+// mean returns the time that calls hold the slots of the target.
+func (e *expectation) mean(l *look) time.Duration {
+	if e.report.Hold > 0 {
+		return e.report.Hold
+	}
+	return l.typical
+}
+
+// hold returns the time that the call will hold its slot.
+func (e *expectation) hold(l *look) time.Duration {
+	h := e.mean(l)
+	if l.kind.hold > 0 {
+		h = time.Duration(l.kind.hold * float64(h))
 	}
+	return h
+}
+
+// wait returns the time until the call gets a slot, and by how much longer it
+// will hold it at a target that is nearly full.
+func (e *expectation) wait(l *look, t *mwcall.Target) time.Duration {
+	limit := float64(max(t.Slots, 1))
 	if e.report.Known() {
 		limit = float64(e.report.Limit)
 	}
-	weight := math.Exp(-float64(now.Sub(e.reported)) / float64(reportFade))
+	weight := math.Exp(-float64(l.now.Sub(e.reported)) / float64(reportFade))
 	others := weight * float64(int(e.report.InFlight+e.report.Queued)-e.ownThen)
 	n := max(others, 0) + float64(e.inFlight)
-	h := float64(hold)
-	wait := max(n+1-limit, 0) * h / limit
 	full := min(n/limit, 1)
-	return time.Duration(h*(1+crowding*full*full*full) + wait)
+	turns := max(n+1-limit, 0)/limit + crowding*full*full*full
+	return time.Duration(turns * float64(e.mean(l)))
 }
 
 // fitness returns what c can hope for at now.
