platform, mwlib: one store protocol, stand-ins of the platform, tests of the new parts

The product's own protocol of the store, its client and its handler are gone: programs reach the store by the platform's protocol, and mwplatform serves a stand-in of it. A test of the repetitions by importance found that orders left proofs none; proofs have a part of their own now.

--- a/mwctl/ctl_test.go
+++ b/mwctl/ctl_test.go
@@ -14,8 +14,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"mustardwheel.example/mwlib/mwfakestore"
-	"mustardwheel.example/mwlib/mwstorehttp"
+	"mustardwheel.example/platform/mwstandin"
 )
 
 // mwctl is the binary under test.
@@ -40,9 +39,7 @@
 
 // store serves a stand-in of the platform's store and returns its address.
 func store(c *qt.C) string {
-	s, end := mwfakestore.New()
-	c.Cleanup(end)
-	srv := httptest.NewServer(mwstorehttp.NewFakeHandler(s))
+	srv := httptest.NewServer(mwstandin.NewStore())
 	c.Cleanup(srv.Close)
 	return address(srv)
 }
@@ -133,15 +130,13 @@
 // operation id that it names finds the change again and makes no other.
 func TestLostAnswer(t *testing.T) {
 	c := qt.New(t)
-	s, end := mwfakestore.New()
-	c.Cleanup(end)
-	next := mwstorehttp.NewFakeHandler(s)
+	next := mwstandin.NewStore()
 	var lost atomic.Bool
 	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if lost.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if !strings.Contains(r.URL.Path, "commit") {
+		if !strings.Contains(r.URL.Path, "rows-tx") {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/mwctl/main.go
+++ b/mwctl/main.go
@@ -15,7 +15,7 @@
 	"mustardwheel.example/mwlib/mwbuild"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwstore"
-	"mustardwheel.example/mwlib/mwstorehttp"
+	"mustardwheel.example/platform"
 )
 
 // Exit codes; docs/OPERATIONS.md has the table.
@@ -95,7 +95,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, g.Timeout)
 	defer cancel()
-	store, end := mwstorehttp.NewClient(g.Store)
+	store, end := mwadapter.NewStore(g.Store)
 	defer end()
 	if err := active(all, p).run(&env{global: g, ctx: ctx, out: out, store: store}); err != nil {
 		return fail(errOut, err)
--- a/mwlib/mwbudget/window.go
+++ b/mwlib/mwbudget/window.go
@@ -62,6 +62,19 @@
 	return ok
 }
 
+// Used returns the part of what is allowed for k that the repetitions of the
+// last span of q use; q may be a part of k that is counted by itself.
+func (w *Windows[K]) Used(k, q K, now time.Time) mwunit.Ratio {
+	var allowed float64
+	w.update(k, now, func(x *window, _ int) { allowed = w.allowed(x) })
+	var n int32
+	w.update(q, now, func(x *window, _ int) { n = x.repeats() })
+	if allowed == 0 {
+		return 1
+	}
+	return mwunit.Ratio(float64(n) / allowed)
+}
+
 // allowed returns how many repetitions a span may have.
 func (w *Windows[K]) allowed(x *window) float64 {
 	return float64(w.ratio)*float64(x.firsts()) + float64(w.slack)
--- /dev/null
+++ b/mwlib/mwbudget/window_test.go
@@ -0,0 +1,79 @@
+package mwbudget_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"mustardwheel.example/mwlib/mwbudget"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// A service that sheds half of its calls for some seconds after a calm time
+// has the repetitions of that time to draw on.
+func TestRepetitionsAfterACalmTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		w := mwbudget.NewWindows[string](10*time.Second, 0.2, 0)
+		for range 1000 {
+			w.First("s", time.Now())
+			time.Sleep(10 * time.Millisecond)
+		}
+		n := 0
+		for w.Spend("s", 1, time.Now()) {
+			n++
+		}
+		c.Check(n >= 180 && n <= 200, qt.IsTrue, qt.Commentf("%d", n))
+		c.Check(w.Spend("other", 1, time.Now()), qt.IsFalse)
+		time.Sleep(12 * time.Second)
+		c.Check(w.Spend("s", 1, time.Now()), qt.IsTrue)
+		time.Sleep(12 * time.Second)
+		c.Check(w.Spend("s", 1, time.Now()), qt.IsFalse)
+	})
+}
+
+// In a span of any phase, repetitions stay within what the first tries of it
+// or of the one before it allow.
+func TestWindowsBoundEverySpan(t *testing.T) {
+	const span, ratio, slack = 10 * time.Second, 0.2, 3
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := mwbudget.NewWindows[string](span, ratio, slack)
+			var firsts, repeats []time.Time
+			for range rapid.IntRange(10, 300).Draw(rt, "steps") {
+				now := time.Now()
+				w.First("s", now)
+				firsts = append(firsts, now)
+				share := mwunit.Ratio(rapid.Float64Range(0, 1).Draw(rt, "share"))
+				for range rapid.IntRange(0, 3).Draw(rt, "asks") {
+					if w.Spend("s", share, now) {
+						repeats = append(repeats, now)
+					}
+				}
+				time.Sleep(time.Duration(rapid.IntRange(0, 900).Draw(rt, "pause")) * time.Millisecond)
+			}
+			for _, end := range repeats {
+				// Slices are a tenth of a span: the first tries may be those of
+				// up to a slice more.
+				most := max(between(firsts, end.Add(-span-time.Second), end), between(firsts, end.Add(-2*span-time.Second), end.Add(-span+time.Second)))
+				if n := between(repeats, end.Add(-span), end); float64(n) > ratio*float64(most)+slack {
+					rt.Errorf("%d repetitions for %d first tries", n, most)
+				}
+			}
+		})
+	})
+}
+
+// between counts the times after from up to to.
+func between(ts []time.Time, from, to time.Time) int {
+	n := 0
+	for _, t := range ts {
+		if t.After(from) && !t.After(to) {
+			n++
+		}
+	}
+	return n
+}
--- a/mwlib/mwkernel/import_test.go
+++ b/mwlib/mwkernel/import_test.go
@@ -32,7 +32,7 @@
 // plugins are packages that register themselves with the kernel.
 var plugins = []string{
 	"mwadmit", "mwclass", "mwroute", "mwretry", "mwclaim", "mwmember",
-	"mwversion", "mwstorehttp", "mwhttp",
+	"mwversion", "mwhttp",
 }
 
 func TestKernelImportsNoPluginAndNoCodec(t *testing.T) {
--- /dev/null
+++ b/mwlib/mwkernel/parents_test.go
@@ -0,0 +1,68 @@
+package mwkernel_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// TestParentOfACallThatNamesNone has a backend server make a call without a
+// parent's name while it works on two calls, and looks which one the call
+// counts for.
+func TestParentOfACallThatNamesNone(t *testing.T) {
+	tests := []struct {
+		name string
+		call func(parents []*mwcall.Call) mwcall.Call
+		root mwid.RootID
+	}{
+		{"id made from a parent's", func(ps []*mwcall.Call) mwcall.Call {
+			return mwcall.Call{Of: "one", Deadline: ps[1].Deadline}
+		}, "root one"},
+		{"deadline of a parent", func(ps []*mwcall.Call) mwcall.Call {
+			return mwcall.Call{Of: "unknown", Deadline: ps[1].Deadline.Add(-2 * time.Millisecond)}
+		}, "root two"},
+		{"a deadline of its own", func(ps []*mwcall.Call) mwcall.Call {
+			return mwcall.Call{Deadline: ps[1].Deadline.Add(time.Second), Root: "own"}
+		}, "own"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				var parents []*mwcall.Call
+				var got mwid.RootID
+				w := newWorld(c, func(ctx context.Context, n *node, call *mwcall.Call) (mwcall.Head, error) {
+					if call.Service == "below" {
+						got = call.Root
+						return mwcall.Head{}, nil
+					}
+					parents = append(parents, call)
+					time.Sleep(time.Duration(3-len(parents)) * 100 * time.Millisecond)
+					if len(parents) == 2 && call == parents[1] {
+						below := test.call(parents)
+						below.Service, below.Origin, below.Orphan = "below", mwcall.Local, true
+						n.call(ctx, below)
+					}
+					return mwcall.Head{}, nil
+				})
+				entry := w.add("s", nil)
+				w.add("below", nil)
+				for i, id := range []mwid.RequestID{"one", "two"} {
+					go entry.call(context.Background(), mwcall.Call{
+						Service: "s", ID: id, Root: mwid.RootID("root " + id),
+						Deadline: time.Now().Add(time.Second + time.Duration(i)*50*time.Millisecond),
+					})
+					synctest.Wait()
+				}
+				time.Sleep(time.Second)
+				c.Check(got, qt.Equals, test.root)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/mwlib/mwlog/log_test.go
@@ -0,0 +1,72 @@
+package mwlog_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwlog"
+)
+
+// reader takes lines while it is not stalled.
+type reader struct {
+	mu  sync.Mutex
+	got bytes.Buffer
+}
+
+func (r *reader) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.Write(p)
+}
+
+func (r *reader) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.got.String()
+}
+
+// A reader that stalls holds up no line, and is told later what it missed.
+func TestStalledReaderDelaysNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := &reader{}
+		r.mu.Lock()
+		w, end := mwlog.New(r, mwlog.WithQueue(10), mwlog.WithRate(1e6))
+		begin := time.Now()
+		for range 100 {
+			_, err := w.Write([]byte("line\n"))
+			c.Assert(err, qt.IsNil)
+		}
+		c.Check(time.Since(begin), qt.Equals, time.Duration(0))
+		c.Check(w.Dropped() >= 89, qt.IsTrue, qt.Commentf("%d dropped", w.Dropped()))
+		r.mu.Unlock()
+		end()
+		c.Check(r.String(), qt.Contains, `"msg":"log lines dropped"`)
+		c.Check(strings.Count(r.String(), "line\n") <= 11, qt.IsTrue)
+	})
+}
+
+func TestRateBoundsTheVolume(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := &reader{}
+		w, end := mwlog.New(r, mwlog.WithRate(100))
+		for range 10 {
+			for range 1000 {
+				_, err := w.Write([]byte("line\n"))
+				c.Assert(err, qt.IsNil)
+			}
+			time.Sleep(time.Second)
+		}
+		end()
+		n := strings.Count(r.String(), "line\n")
+		c.Check(n <= 1200, qt.IsTrue, qt.Commentf("%d lines in 10 s at 100 a second and a burst of 200", n))
+		c.Check(n >= 1000, qt.IsTrue)
+	})
+}
--- a/mwlib/mwretry/window.go
+++ b/mwlib/mwretry/window.go
@@ -25,14 +25,27 @@
 // repeated run makes counts as a repetition too. As what is allowed does not
 // last for all, the more important calls may use all of it and the least
 // important ones a part: without that, the many calls of little importance
-// would leave nothing to the few of great one.
+// would leave nothing to the few of great one. Those between have a part of
+// their own.
 type Window struct {
 	chain   mwunit.Attempts
-	windows *mwbudget.Windows[mwid.ServiceName]
+	windows *mwbudget.Windows[windowKey]
 	ranks   *mwshard.Map[mwid.ServiceName, rank]
 	denied  *metrics.Counter
 }
 
+// windowKey is a service, or its calls of one importance, which are counted
+// by themselves as well.
+type windowKey struct {
+	service    mwid.ServiceName
+	importance mwunit.Importance
+}
+
+// wholeService stands for the calls of all importances.
+const wholeService mwunit.Importance = -1
+
+func keyOf(s mwid.ServiceName) windowKey { return windowKey{s, wholeService} }
+
 // rank is the range of importance that a service's calls had lately.
 type rank struct {
 	least, most mwunit.Importance
@@ -44,6 +57,9 @@
 	// leastShare is the part of the repetitions that the least important
 	// calls of a service may use.
 	leastShare = 0.25
+	// ownShare is the part of the repetitions that calls of each importance
+	// but the least may use, whatever more important ones use.
+	ownShare = 0.25
 	// rankSpan is how long a range of importance holds.
 	rankSpan = 20 * time.Second
 )
@@ -54,7 +70,7 @@
 	set := env.Settings.Retry
 	return &Window{
 		chain:   set.Chain,
-		windows: mwbudget.NewWindows[mwid.ServiceName](set.Window, set.WindowRatio, set.TokenReserve),
+		windows: mwbudget.NewWindows[windowKey](set.Window, set.WindowRatio, set.TokenReserve),
 		ranks:   mwshard.New[mwid.ServiceName, rank](mwshard.DefaultShards),
 		denied:  env.Metrics.GetOrCreateCounter("mw_retry_no_token_total"),
 	}, nil, nil
@@ -72,10 +88,10 @@
 func (w *Window) Began(c *mwcall.Call) {
 	now := time.Now()
 	if c.Repeated {
-		w.windows.Repeat(c.Service, now)
+		w.windows.Repeat(keyOf(c.Service), now)
 		return
 	}
-	w.windows.First(c.Service, now)
+	w.windows.First(keyOf(c.Service), now)
 	w.ranks.Update(c.Service, func(r rank, ok bool) (rank, bool) {
 		i := c.Class.Importance
 		if !ok || now.Sub(r.since) > rankSpan {
@@ -92,11 +108,18 @@
 // Allow tells whether the span has room for one more repetition of c.
 func (w *Window) Allow(c *mwcall.Call, _ mwcall.Head) bool {
 	r, _ := w.ranks.Get(c.Service)
-	ok := w.windows.Spend(c.Service, r.share(c.Class.Importance), time.Now())
-	if !ok {
+	now, whole := time.Now(), keyOf(c.Service)
+	own := windowKey{c.Service, c.Class.Importance}
+	share := r.share(c.Class.Importance)
+	if c.Class.Importance > r.least && w.windows.Used(whole, own, now) < ownShare {
+		share = 1
+	}
+	if !w.windows.Spend(whole, share, now) {
 		w.denied.Inc()
+		return false
 	}
-	return ok
+	w.windows.Repeat(own, now)
+	return true
 }
 
 // share returns the part of the repetitions that calls of importance i may
--- /dev/null
+++ b/mwlib/mwroute/expect_test.go
@@ -0,0 +1,186 @@
+package mwroute_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwroute"
+	"mustardwheel.example/mwlib/mwset"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// expected is the targets of one service that report their load, as their nodes do.
+type expected struct {
+	r    mwkernel.Router
+	ts   []mwcall.Target
+	hold map[mwid.NodeID]time.Duration
+	busy map[mwid.NodeID]mwunit.Slots // busy is what other nodes have there.
+	got  map[mwid.NodeID]int
+}
+
+const expectedSlots mwunit.Slots = 10
+
+// newExpected returns an expected of one target in each place, "zone/region", seen
+// from zone a of region r.
+func newExpected(c *qt.C, holds map[mwid.NodeID]time.Duration, places map[mwid.NodeID][2]string) *expected {
+	set := mwsetting.Default()
+	set.Place.Zone, set.Place.Region = "a", "r"
+	r, end, err := mwkernel.Routers.Make(mwroute.ExpectName, mwkernel.Env{Node: "entry", Settings: set, Metrics: metrics.NewSet()})
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(end)
+	f := &expected{r: r, hold: holds, busy: make(map[mwid.NodeID]mwunit.Slots), got: make(map[mwid.NodeID]int)}
+	for n, p := range places {
+		f.ts = append(f.ts, mwcall.Target{
+			Node: n, Service: "s", Zone: mwid.ZoneName(p[0]), Region: mwid.RegionName(p[1]), Slots: expectedSlots,
+		})
+	}
+	return f
+}
+
+// call sends one call and answers it after its time.
+func (f *expected) call(c *mwcall.Call) error {
+	t, err := f.r.Pick(c, f.ts, mwset.New[mwid.NodeID]())
+	if err != nil {
+		return err
+	}
+	f.got[t.Node]++
+	done := f.r.Begin(c, t)
+	spent := f.hold[t.Node] * time.Duration(1+f.busy[t.Node]/expectedSlots)
+	time.Sleep(spent)
+	done(mwcall.Head{Report: mwcall.Report{
+		InFlight: min(f.busy[t.Node], expectedSlots), Queued: max(f.busy[t.Node]-expectedSlots, 0), Limit: expectedSlots,
+		Hold: f.hold[t.Node], Route: f.hold[t.Node], Spent: spent,
+	}}, mwcall.Sample{Took: spent})
+	return nil
+}
+
+func (f *expected) calls(c *qt.C, n int, call func() *mwcall.Call) {
+	for range n {
+		c.Assert(f.call(call()), qt.IsNil)
+	}
+}
+
+func plain() *mwcall.Call {
+	c := &mwcall.Call{Service: "s", Method: "GET", Path: "/x", Deadline: time.Now().Add(800 * time.Millisecond)}
+	c.Class.Repeatable = true
+	return c
+}
+
+func share(f *expected, n mwid.NodeID) float64 {
+	total := 0
+	for _, v := range f.got {
+		total += v
+	}
+	return float64(f.got[n]) / float64(total)
+}
+
+// TestLoadLeavesARegionThatIsFull replays a region whose target is full while
+// that of another region has room: calls go there, and come back when the
+// near one has room again.
+func TestLoadLeavesARegionThatIsFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const ms = time.Millisecond
+		f := newExpected(c, map[mwid.NodeID]time.Duration{"near": 30 * ms, "far": 30 * ms},
+			map[mwid.NodeID][2]string{"near": {"a", "r"}, "far": {"x", "q"}})
+		f.calls(c, 100, plain)
+		c.Check(share(f, "near") > 0.9, qt.IsTrue, qt.Commentf("%v", f.got))
+		f.busy["near"] = 8 * expectedSlots
+		clear(f.got)
+		f.calls(c, 100, plain)
+		c.Check(share(f, "far") > 0.6, qt.IsTrue, qt.Commentf("%v", f.got))
+		f.busy["near"] = 0
+		f.calls(c, 100, plain)
+		clear(f.got)
+		f.calls(c, 100, plain)
+		c.Check(share(f, "near") > 0.9, qt.IsTrue, qt.Commentf("%v", f.got))
+	})
+}
+
+// TestOrdersGoToFastTargets replays targets of different speeds: a straggler
+// of an order would not end in time at the slow one.
+func TestOrdersGoToFastTargets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const ms = time.Millisecond
+		f := newExpected(c, map[mwid.NodeID]time.Duration{"fast": 70 * ms, "slow": 200 * ms},
+			map[mwid.NodeID][2]string{"fast": {"b", "r"}, "slow": {"a", "r"}})
+		order := func() *mwcall.Call {
+			o := plain()
+			o.Class.Repeatable = false
+			return o
+		}
+		f.calls(c, 50, order)
+		clear(f.got)
+		f.calls(c, 100, order)
+		c.Check(share(f, "fast") > 0.9, qt.IsTrue, qt.Commentf("%v", f.got))
+	})
+}
+
+// TestSlowTargetIsLeftAndFoundAgain replays a target that turns four times
+// slower for a while.
+func TestSlowTargetIsLeftAndFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		const ms = time.Millisecond
+		f := newExpected(c, map[mwid.NodeID]time.Duration{"one": 50 * ms, "two": 50 * ms},
+			map[mwid.NodeID][2]string{"one": {"a", "r"}, "two": {"a", "r"}})
+		f.calls(c, 100, plain)
+		c.Check(share(f, "one") > 0.1, qt.IsTrue, qt.Commentf("%v", f.got))
+		f.hold["one"] = 200 * ms
+		f.calls(c, 50, plain)
+		clear(f.got)
+		f.calls(c, 100, plain)
+		c.Check(share(f, "two") > 0.9, qt.IsTrue, qt.Commentf("%v", f.got))
+	})
+}
+
+// A call that no target can answer in its time is refused at the entry with
+// the time at which there is room.
+func TestHopelessCallIsRefusedAtTheEntry(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newExpected(c, map[mwid.NodeID]time.Duration{"one": 100 * time.Millisecond},
+			map[mwid.NodeID][2]string{"one": {"a", "r"}})
+		f.busy["one"] = 12 * expectedSlots
+		refused := 0
+		for range 50 {
+			if err := f.call(plain()); err != nil {
+				refused++
+				h, ok := mwkernel.RefusalOf(err)
+				c.Assert(ok, qt.IsTrue)
+				c.Check(mwcode.Of(err), qt.Equals, mwcode.EarlyRefusal)
+				c.Check(h.RetryAfter > 0, qt.IsTrue)
+			}
+		}
+		c.Check(refused > 0, qt.IsTrue)
+	})
+}
+
+func TestExpectTargetThatCannotBeReached(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		f := newExpected(c, map[mwid.NodeID]time.Duration{"one": time.Millisecond, "two": time.Millisecond},
+			map[mwid.NodeID][2]string{"one": {"a", "r"}, "two": {"b", "r"}})
+		for _, n := range f.ts {
+			if n.Node == "one" {
+				f.r.Begin(plain(), n)(mwcall.Head{Code: mwcode.ConnectFailed}, mwcall.Sample{Code: mwcode.ConnectFailed})
+			}
+		}
+		f.calls(c, 20, plain)
+		c.Check(f.got["one"], qt.Equals, 0)
+		for i := range f.ts {
+			f.ts[i].State = mwcall.Leaving
+		}
+		c.Check(mwcode.Of(f.call(plain())), qt.Equals, mwcode.NoTarget)
+	})
+}
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -50,7 +50,7 @@
 // Plugins names the plug-in of each extension point.
 type Plugins struct {
 	Dialect       mwregistry.Name `long:"dialect" env:"DIALECT" default:"headers" description:"headers and statuses that callers and backend servers use"`
-	Store         mwregistry.Name `long:"store" env:"STORE" default:"http" description:"store client"`
+	Store         mwregistry.Name `long:"store" env:"STORE" default:"platform" description:"store client"`
 	Membership    mwregistry.Name `long:"membership" env:"MEMBERSHIP" default:"gossip" description:"membership"`
 	Configuration mwregistry.Name `long:"configuration" env:"CONFIGURATION" default:"fanout" description:"source of the configuration"`
 	Source        mwregistry.Name `long:"source" env:"SOURCE" default:"table" description:"where operators write the configuration"`
--- a/mwlib/mwstandard/standard.go
+++ b/mwlib/mwstandard/standard.go
@@ -9,6 +9,5 @@
 	_ "mustardwheel.example/mwlib/mwmember"
 	_ "mustardwheel.example/mwlib/mwretry"
 	_ "mustardwheel.example/mwlib/mwroute"
-	_ "mustardwheel.example/mwlib/mwstorehttp"
 	_ "mustardwheel.example/mwlib/mwversion"
 )
--- a/mwplatform/main.go
+++ b/mwplatform/main.go
@@ -1,5 +1,5 @@
-// Command mwplatform serves a stand-in of the platform's table and object
-// store over HTTP. It keeps all in memory.
+// Command mwplatform serves a stand-in of the platform's store. It keeps all in
+// memory, and its admin path sets what it does to calls.
 package main
 
 import (
@@ -16,20 +16,14 @@
 
 	"github.com/jessevdk/go-flags"
 
-	"mustardwheel.example/mwlib/mwfakestore"
 	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwstorehttp"
-	"mustardwheel.example/mwlib/mwunit"
+	"mustardwheel.example/platform/mwstandin"
 )
 
 // settings are the flags of the program.
 type settings struct {
-	Listen mwid.Address     `long:"listen" env:"MW_PLATFORM_LISTEN" default:"127.0.0.1:7100" description:"address to serve at, IP:port"`
-	Seed   uint64           `long:"seed" env:"MW_PLATFORM_SEED" default:"1" description:"seed of the random choices of faults"`
-	Reads  mwunit.PerSecond `long:"reads" env:"MW_PLATFORM_READS" default:"2000" description:"reads a second; 0 is no bound"`
-	Writes mwunit.PerSecond `long:"writes" env:"MW_PLATFORM_WRITES" default:"300" description:"transactions and stored objects a second; 0 is no bound"`
-	Rows   mwunit.PerSecond `long:"rows" env:"MW_PLATFORM_ROWS" default:"0" description:"rows written a second; 0 is no bound"`
-	Delay  time.Duration    `long:"delay" env:"MW_PLATFORM_DELAY" default:"0s" description:"time that each answer takes, such as 5ms"`
+	Listen mwid.Address  `long:"listen" env:"MW_PLATFORM_LISTEN" default:"127.0.0.1:7100" description:"address to serve at, IP:port"`
+	Delay  time.Duration `long:"delay" env:"MW_PLATFORM_DELAY" default:"0s" description:"time that each answer takes, such as 5ms"`
 }
 
 // endTimeout is the longest wait for requests in flight at the end.
@@ -54,19 +48,14 @@
 func run(set settings, log *slog.Logger) error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	store, end := mwfakestore.New(
-		mwfakestore.WithSeed(set.Seed),
-		mwfakestore.WithReads(set.Reads),
-		mwfakestore.WithWrites(set.Writes),
-		mwfakestore.WithRows(set.Rows),
-		mwfakestore.WithFaults(mwfakestore.Faults{Delay: set.Delay}),
-	)
-	defer end()
+	store := mwstandin.NewStore(mwstandin.WithFault(func(*http.Request) mwstandin.Fault {
+		return mwstandin.Fault{Delay: set.Delay}
+	}))
 	l, err := net.Listen("tcp", string(set.Listen))
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	srv := &http.Server{Handler: mwstorehttp.NewFakeHandler(store), ReadHeaderTimeout: endTimeout}
+	srv := &http.Server{Handler: store, ReadHeaderTimeout: endTimeout}
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
