--- a/mwnode/signal.go
+++ b/mwnode/signal.go
@@ -28,6 +28,7 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &watcher{log: log, now: args}
+	w.touched() // What changes from now on counts.
 	var wg sync.WaitGroup
 	wg.Go(func() { w.run(ctx, hup) })
 	return func() {
