--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -95,6 +95,18 @@
 	return nil
 }
 
+// Doubts tells whether a may be old though nothing newer is known: this
+// process knows nothing of the backend server's service, while the backend
+// server has announced itself before, to an earlier process of this VM. That
+// one may have heard since that the backend server leaves.
+func (k *Kernel) Doubts(a mwcall.Announcement) bool {
+	_, known := k.backends.m.Get(a.Service)
+	return !known && a.Seq > firstSeq
+}
+
+// firstSeq is the number of the first announcement of a start.
+const firstSeq = 1
+
 // take keeps a and tells whether it is newer than what was known.
 func (b *backends) take(a mwcall.Announcement) bool {
 	taken, fresh := false, false
