mwmember: look again soon after the join; mwroute: more chance for begun work

TestNodesThatStartTogetherFindEachOther replays the start and failed (not within 6 s) before each node looked again after about 1 and 4 s.

--- a/mwlib/mwmember/join.go
+++ b/mwlib/mwmember/join.go
@@ -46,22 +46,36 @@
 
 // joinAndEnter finds other nodes while none is known and, on a relay, keeps
 // the table's entry rows.
+//
+// Of many nodes that start together, some may have found only each other. So
+// each node looks again soon after it joined, and contacts those entries that
+// it still does not know.
 func (g *Gossip) joinAndEnter(ctx context.Context) {
+	looks := 0
 	for {
-		wait := entryPeriod/2 + rand.N(entryPeriod)
 		if g.view.Load().others(g.self) == 0 {
 			if !g.joinFirst(ctx) {
 				return
 			}
-			wait = rand.N(entryPeriod)
+			looks = 0
+		}
+		wait := entryPeriod/2 + rand.N(entryPeriod)
+		if looks < len(settlePeriods) {
+			wait = settlePeriods[looks]/2 + rand.N(settlePeriods[looks])
 		}
 		if !mwtimer.Sleep(ctx, wait) {
 			return
 		}
-		g.keepEntries(ctx)
+		g.keepEntries(ctx, looks < len(settlePeriods))
+		looks++
 	}
 }
 
+// settlePeriods are the mean times between the first looks after a join: the
+// start of a system takes less than the first, and the second is for those
+// that the store answered late.
+var settlePeriods = [...]time.Duration{time.Second, 4 * time.Second}
+
 // joinFirst tries until another node is known. It returns false when ctx is
 // done. A node that found nobody twice enters itself into the table, so that
 // others find it; of many that start at the same time most find an entry by
@@ -162,15 +176,17 @@
 	}
 }
 
-// keepEntries enters this node where it is a relay, and makes contact with
-// nodes that were not known.
-func (g *Gossip) keepEntries(ctx context.Context) {
+// keepEntries enters this node where it is a relay, and makes contact with a
+// node that was not known. While the system settles, all nodes do the latter.
+func (g *Gossip) keepEntries(ctx context.Context, settling bool) {
 	i := g.rank()
-	if i >= RelaysPerZone {
+	if i >= RelaysPerZone && !settling {
 		return
 	}
 	es := g.entries(ctx)
-	g.enterIn(ctx, es, i)
+	if i < RelaysPerZone {
+		g.enterIn(ctx, es, i)
+	}
 	g.contactUnknown(ctx, es)
 }
 
--- /dev/null
+++ b/mwlib/mwmember/start_test.go
@@ -0,0 +1,64 @@
+package mwmember_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwstore"
+)
+
+// slowStore takes some time for each request, as a store does over a network
+// while all processes start.
+type slowStore struct{ mwstore.Store }
+
+func (s *slowStore) wait() { time.Sleep(4*time.Millisecond + rand.N(40*time.Millisecond)) }
+
+// Scan waits before and after.
+func (s *slowStore) Scan(ctx context.Context, prefix, after mwstore.Key, limit int) ([]mwstore.Row, error) {
+	s.wait()
+	defer s.wait()
+	return s.Store.Scan(ctx, prefix, after, limit)
+}
+
+// Commit waits before and after.
+func (s *slowStore) Commit(ctx context.Context, t mwstore.Txn) (mwstore.Receipt, error) {
+	s.wait()
+	defer s.wait()
+	return s.Store.Commit(ctx, t)
+}
+
+// TestNodesThatStartTogetherFindEachOther starts all nodes of a new system
+// within 0.3 s: no entry is in the store yet, and groups of nodes that found
+// only each other must not stay apart.
+func TestNodesThatStartTogetherFindEachOther(t *testing.T) {
+	const zones, each, trials, most = 6, 4, 100, 6 * time.Second
+	for trial := range trials {
+		run(t, 0, 0, func(cl *cluster) {
+			rnd := rand.New(rand.NewPCG(uint64(trial), 0))
+			offsets := make([]time.Duration, 0, zones*each)
+			for range zones * each {
+				offsets = append(offsets, time.Duration(rnd.Int64N(int64(300*time.Millisecond))))
+			}
+			done := make(chan error, zones*each)
+			for i, d := range offsets {
+				go func() {
+					time.Sleep(d)
+					_, err := cl.Start(mwcluster.PlaceOf(i%zones, i/zones))
+					done <- err
+				}()
+			}
+			for range offsets {
+				cl.c.Assert(<-done, qt.IsNil)
+			}
+			cl.settled(most)
+		}, mwcluster.WithSeed(uint64(trial)), mwcluster.WithStoreOf(func(s mwstore.Store, _ mwmemnet.Place) mwstore.Store {
+			return &slowStore{Store: s}
+		}))
+	}
+}
--- a/mwlib/mwroute/expect.go
+++ b/mwlib/mwroute/expect.go
@@ -110,9 +110,9 @@
 	if best.target == nil {
 		return mwcall.Target{}, mwcode.New(mwcode.NoTarget)
 	}
-	if left, ok := c.Remaining(now); ok && best.fit == fit && best.took > left && rand.Float64() >= probeShare {
+	if l.hopeless(best) && rand.Float64() >= probeShare {
 		x.meter.early.Inc()
-		return mwcall.Target{}, mwkernel.Refuse(mwcode.EarlyRefusal, mwcall.Head{RetryAfter: best.took - left})
+		return mwcall.Target{}, mwkernel.Refuse(mwcode.EarlyRefusal, mwcall.Head{RetryAfter: best.took - l.left})
 	}
 	x.meter.picked(distanceOf(x.here, *best.target), false)
 	return *best.target, nil
@@ -134,6 +134,22 @@
 	return l
 }
 
+// hopeless tells whether c can't end in its time even at the best target. A
+// call that belongs to work already done has more of a chance given: where it
+// is refused, that work is lost.
+func (l *look) hopeless(best expected) bool {
+	left := l.left
+	if l.c.Depth > 0 {
+		left *= begunChance
+	}
+	return l.left > 0 && best.fit == fit && best.took > left
+}
+
+// begunChance is how many times as long as it has left a call may be expected
+// to take that belongs to work already done: half of the calls take less than
+// two thirds of the mean.
+const begunChance = 2
+
 // typical returns the median time that calls hold the slots of ts, which is
 // what is expected of a target that nothing is known of.
 func (x *Expect) typical(ts []mwcall.Target) time.Duration {
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"slices"
 	"syscall"
 
@@ -32,6 +33,10 @@
 	exitSettings = 2
 )
 
+// gcPercent is by how much the heap may grow between two collections: the
+// live heap is a few megabytes, and VMs are billed for peaks of memory.
+const gcPercent = 50
+
 // arguments are the settings with those that only this program has.
 type arguments struct {
 	mwsetting.Node
@@ -109,6 +114,7 @@
 	log.Info("started", "Node", h.Kernel().Self().Node, "Entry", h.Entry(), "Local", h.Local(),
 		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwbuild.String())
 	defer watchSettings(log, fromFile)()
+	debug.SetGCPercent(gcPercent)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
