--- a/mwctl/explain.go
+++ b/mwctl/explain.go
@@ -8,7 +8,8 @@
 // explain is the verb that explains a decision.
 type explain struct {
 	Caller  mwid.CallerName  `long:"caller" description:"name of the caller"`
-	Service mwid.ServiceName `long:"service" required:"true" description:"service that is called"`
+	Service mwid.ServiceName `long:"service" description:"service that is called; without, the route of --host and --path tells"`
+	Host    string           `long:"host" description:"host that the request names"`
 	Method  string           `long:"method" default:"GET" description:"HTTP method"`
 	Path    string           `long:"path" default:"/" description:"path of the request"`
 }
@@ -16,13 +17,15 @@
 // run prints how the first node would treat the call.
 func (v *explain) run(e *env) error {
 	x, err := e.global.node().Explain(e.ctx, mwadmin.Question{
-		Caller: v.Caller, Service: v.Service, Method: v.Method, Path: v.Path,
+		Caller: v.Caller, Service: v.Service, Method: v.Method, Path: v.Path, Host: v.Host,
 	})
 	if err != nil {
 		return err
 	}
 	t := &table{head: []string{"FIELD", "VALUE"}}
 	t.add("Version", x.Version)
+	t.add("Service", x.Service)
+	t.add("Route", x.Verdict.Route)
 	t.add("CallerLabels", x.CallerLabels)
 	t.add("RequestLabels", x.RequestLabels)
 	t.add("Policies", x.Verdict.Matched)
@@ -30,7 +33,10 @@
 	t.add("Repeatable", x.Verdict.Repeatable)
 	t.add("Length", x.Verdict.Length)
 	t.add("Retries", x.Verdict.Retries)
+	t.add("MaxTargets", x.Verdict.MaxTargets)
 	t.add("Deadline", x.Verdict.Deadline)
+	t.add("Timeout", x.Verdict.Timeout)
+	t.add("Objective", x.Verdict.Objective)
 	t.add("Retired", x.Verdict.Retired)
 	t.add("Targets", len(x.Targets))
 	t.add("Admitted", x.Admitted)
--- a/mwlib/mwadmin/api.go
+++ b/mwlib/mwadmin/api.go
@@ -56,11 +56,14 @@
 	Service mwid.ServiceName
 	Method  string
 	Path    string
+	// Host finds the route where no Service is named.
+	Host string `json:",omitempty"`
 }
 
 // Explanation tells how a node would treat a call, and why.
 type Explanation struct {
 	Version       mwid.Version
+	Service       mwid.ServiceName
 	CallerLabels  mwlabel.Set
 	RequestLabels mwlabel.Set
 	Verdict       mwconfig.Verdict
--- a/mwlib/mwadmin/explain.go
+++ b/mwlib/mwadmin/explain.go
@@ -13,16 +13,19 @@
 func explain(k *mwkernel.Kernel, q Question) Explanation {
 	c := &mwcall.Call{
 		Root: mwid.NewRootID(), Caller: q.Caller, Service: q.Service,
-		Method: q.Method, Path: q.Path,
+		Method: q.Method, Path: q.Path, Host: q.Host,
+	}
+	s, err := k.Judge(c)
+	if err != nil {
+		return Explanation{Version: s.Version(), Code: mwcode.Of(err), Reason: err.Error()}
 	}
-	s := k.Judge(c)
 	v := Explanation{
-		Version: c.Class.Version, Verdict: c.Class.Verdict, Priority: c.Class.Priority,
+		Version: c.Class.Version, Service: c.Service, Verdict: c.Class.Verdict, Priority: c.Class.Priority,
 		CallerLabels: s.CallerLabels(q.Caller), RequestLabels: s.RequestLabels(c.Request()),
-		Targets: k.Targets(q.Service), Share: c.Class.Ceiling,
+		Targets: k.Targets(c.Service), Share: c.Class.Ceiling,
 	}
-	if isAnnounced(k, q.Service) {
-		l := k.Admission().Load(q.Service)
+	if isAnnounced(k, c.Service) {
+		l := k.Admission().Load(c.Service)
 		v.Load = &l
 	}
 	v.Code, v.Reason = judge(k, v)
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -161,12 +161,16 @@
 	return ts
 }
 
-// Judge fills c.Class as for a call by a caller and returns the
-// configuration that it used.
-func (k *Kernel) Judge(c *mwcall.Call) *mwconfig.Snapshot {
+// Judge fills c.Service, where c names none, and c.Class as for a call by a
+// caller, and returns the configuration that it used. Its error tells that no
+// route fits.
+func (k *Kernel) Judge(c *mwcall.Call) (*mwconfig.Snapshot, error) {
 	s, ok := k.snapshot()
+	if err := k.resolve(c, s, ok); err != nil {
+		return s, err
+	}
 	k.classify(c, s, ok)
-	return s
+	return s, nil
 }
 
 // emptySnapshot stands for the configuration while the node has none.
