--- a/mwlib/mwmember/start_test.go
+++ b/mwlib/mwmember/start_test.go
@@ -17,7 +17,7 @@
 // while all processes start.
 type slowStore struct{ mwstore.Store }
 
-func (s *slowStore) wait() { time.Sleep(4*time.Millisecond + rand.N(40*time.Millisecond)) }
+func (s *slowStore) wait() { pass(4*time.Millisecond + rand.N(40*time.Millisecond)) }
 
 // Scan waits before and after.
 func (s *slowStore) Scan(ctx context.Context, prefix, after mwstore.Key, limit int) ([]mwstore.Row, error) {
@@ -48,7 +48,7 @@
 			done := make(chan error, zones*each)
 			for i, d := range offsets {
 				go func() {
-					time.Sleep(d)
+					pass(d)
 					_, err := cl.Start(mwcluster.PlaceOf(i%zones, i/zones))
 					done <- err
 				}()
