--- /dev/null
+++ b/mwlib/mwhttp/linkcall.go
@@ -0,0 +1,162 @@
+package mwhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/textproto"
+
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+)
+
+// linkCall is one request on a link.
+type linkCall struct {
+	k       *link
+	out     *http.Request
+	early   func(int, textproto.MIMEHeader) error
+	belongs func(http.Header) bool
+	wrote   chan error // wrote gets the result of a write beside the read; nil without one.
+	stop    func() bool
+}
+
+// run sends out to addr and returns the head of its answer. Its error has a
+// code that tells whether a byte of the request may have reached addr.
+func (l *links) run(ctx context.Context, out *http.Request, addr mwid.Address, belongs func(http.Header) bool, early func(int, textproto.MIMEHeader) error) (*http.Response, error) {
+	s := l.set(addr)
+	k, err := s.take(ctx)
+	if err != nil {
+		return nil, err
+	}
+	c := &linkCall{k: k, out: out, early: early, belongs: belongs}
+	c.stop = context.AfterFunc(ctx, func() { k.conn.Close() })
+	resp, err := c.roundTrip()
+	if err == nil {
+		return resp, nil
+	}
+	c.stop()
+	k.conn.Close()
+	code := mwcode.ConnectionLost
+	if ctx.Err() != nil {
+		code = mwcode.Silent
+		s.drop()
+	}
+	return nil, mwcode.New(code, mwcode.Wrap(err))
+}
+
+func (c *linkCall) roundTrip() (*http.Response, error) {
+	if err := c.write(); err != nil {
+		return nil, err
+	}
+	for {
+		resp, err := http.ReadResponse(c.k.r, c.out)
+		if err != nil {
+			return nil, err
+		}
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, fmt.Errorf("mwhttp: unasked change of protocol")
+		case resp.StatusCode < http.StatusOK:
+			if err := c.early(resp.StatusCode, textproto.MIMEHeader(resp.Header)); err != nil {
+				return nil, err
+			}
+		case c.belongs(resp.Header):
+			resp.Body = &linkBody{c: c, resp: resp, body: resp.Body}
+			return resp, nil
+		default:
+			if err := passOver(resp); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// passOver reads an answer to another call to its end.
+func passOver(resp *http.Response) error {
+	if resp.Close {
+		return errors.New("mwhttp: the connection ends with an answer to another call")
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, strayBytes))
+	if err == nil && n == strayBytes {
+		err = errors.New("mwhttp: a long answer to another call")
+	}
+	return err
+}
+
+// write writes the request. A longer body is written beside the reading of
+// the answer, which a backend server may send before it has read the body.
+func (c *linkCall) write() error {
+	if c.out.ContentLength >= 0 && c.out.ContentLength <= inlineBody {
+		return c.send()
+	}
+	c.wrote = make(chan error, 1)
+	go func() { c.wrote <- c.send() }()
+	return nil
+}
+
+func (c *linkCall) send() error {
+	w := bufio.NewWriterSize(c.k.conn, linkBuffer)
+	if err := c.out.Write(w); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// written tells whether the whole request went out.
+func (c *linkCall) written() bool {
+	if c.wrote == nil {
+		return true
+	}
+	select {
+	case err := <-c.wrote:
+		c.wrote <- err
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// linkBody is the body of an answer, which gives the connection back at its
+// end.
+type linkBody struct {
+	c    *linkCall
+	resp *http.Response
+	body io.ReadCloser
+	done bool
+}
+
+// Read reads from the answer.
+func (b *linkBody) Read(p []byte) (int, error) {
+	if b.done {
+		return 0, io.EOF
+	}
+	n, err := b.body.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.end(b.c.written())
+	} else if err != nil {
+		b.end(false)
+	}
+	return n, err
+}
+
+// Close closes the connection where the answer was not read to its end.
+func (b *linkBody) Close() error {
+	b.end(false)
+	return nil
+}
+
+// end ends the call; a usable connection goes back to the others.
+func (b *linkBody) end(usable bool) {
+	if b.done {
+		return
+	}
+	b.done = true
+	if b.c.stop() && usable {
+		b.c.k.rest(b.resp)
+		return
+	}
+	b.c.k.conn.Close()
+}
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -24,6 +24,7 @@
 	// redirects counts the free attempts so far.
 	redirects int
 	steps     []step
+	came      time.Time
 	// reached are the targets whose backend server may have got the call, and
 	// declined those of them that said that they did not run it.
 	reached  triedSet
@@ -58,7 +59,7 @@
 	}
 	k.classify(c, s, ok)
 	r := &routing{
-		k: k, c: c, ex: ex, balance: c.Budget, tried: mwset.New[mwid.NodeID](),
+		k: k, c: c, ex: ex, came: time.Now(), balance: c.Budget, tried: mwset.New[mwid.NodeID](),
 		reached: mwset.New[mwid.NodeID](), declined: mwset.New[mwid.NodeID](),
 	}
 	if err := r.begin(ok); err != nil {
@@ -210,6 +211,7 @@
 		r.k.accounts.Restore(r.c.Parent, r.balance)
 	}
 	r.logEnd(mwcode.Of(o.err), o.h.Failed, o.h)
+	r.k.stat.ended(mwcode.Of(o.err), o.h.Failed, time.Since(r.came))
 	if o.err != nil {
 		r.k.stat.refused(mwcode.Of(o.err))
 		err := ofKey(r.c, o.err)
--- a/mwlib/mwkernel/stat.go
+++ b/mwlib/mwkernel/stat.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -17,10 +18,24 @@
 	cut       *metrics.Counter
 	adopted   *metrics.Counter
 	orphans   *metrics.Counter
+	times     map[string]*metrics.Histogram // times are those of calls at their entry, by outcome.
 }
 
+// Outcomes of calls at their entry.
+const (
+	outcomeGood    = "good"
+	outcomeFailed  = "failed"
+	outcomeRefused = "refused"
+	outcomeUnknown = "unknown"
+)
+
 func newStats(s *metrics.Set) *stats {
+	times := make(map[string]*metrics.Histogram)
+	for _, o := range []string{outcomeGood, outcomeFailed, outcomeRefused, outcomeUnknown} {
+		times[o] = s.GetOrCreateHistogram(fmt.Sprintf(`mw_call_duration_seconds{outcome=%q}`, o))
+	}
 	return &stats{
+		times:     times,
 		set:       s,
 		retries:   s.GetOrCreateCounter("mw_retries_total"),
 		redirects: s.GetOrCreateCounter("mw_redirects_total"),
@@ -31,6 +46,20 @@
 	}
 }
 
+// ended notes how long a call took from its entry to its answer's head.
+func (s *stats) ended(code mwcode.Code, failed bool, took time.Duration) {
+	o := outcomeGood
+	switch {
+	case code.NotRun():
+		o = outcomeRefused
+	case code != mwcode.OK:
+		o = outcomeUnknown
+	case failed:
+		o = outcomeFailed
+	}
+	s.times[o].Update(took.Seconds())
+}
+
 // found counts a call whose parent was looked for.
 func (s *stats) found(ok bool) {
 	if ok {
