--- a/mwlib/mwkernel/parents_test.go
+++ b/mwlib/mwkernel/parents_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,17 +37,27 @@
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				c := qt.New(t)
+				var mu sync.Mutex
 				var parents []*mwcall.Call
 				var got mwid.RootID
+				// arrive notes a parent and returns all that came so far.
+				arrive := func(call *mwcall.Call) []*mwcall.Call {
+					mu.Lock()
+					defer mu.Unlock()
+					parents = append(parents, call)
+					return slices.Clone(parents)
+				}
 				w := newWorld(c, func(ctx context.Context, n *node, call *mwcall.Call) (mwcall.Head, error) {
 					if call.Service == "below" {
+						mu.Lock()
+						defer mu.Unlock()
 						got = call.Root
 						return mwcall.Head{}, nil
 					}
-					parents = append(parents, call)
-					time.Sleep(time.Duration(3-len(parents)) * 100 * time.Millisecond)
-					if len(parents) == 2 && call == parents[1] {
-						below := test.call(parents)
+					here := arrive(call)
+					time.Sleep(time.Duration(3-len(here)) * 100 * time.Millisecond)
+					if len(here) == 2 {
+						below := test.call(here)
 						below.Service, below.Origin, below.Orphan = "below", mwcall.Local, true
 						n.call(ctx, below)
 					}
@@ -61,6 +73,8 @@
 					synctest.Wait()
 				}
 				time.Sleep(time.Second)
+				mu.Lock()
+				defer mu.Unlock()
 				c.Check(got, qt.Equals, test.root)
 			})
 		})
