--- a/mwctl/ctl_test.go
+++ b/mwctl/ctl_test.go
@@ -136,7 +136,7 @@
 		if lost.Load() {
 			panic(http.ErrAbortHandler)
 		}
-		if !strings.Contains(r.URL.Path, "rows-tx") {
+		if r.Method != http.MethodPost {
 			next.ServeHTTP(w, r)
 			return
 		}
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -41,7 +41,7 @@
 	if e.body.large() {
 		out.Header.Set("Expect", "100-continue")
 	}
-	resp, err := e.f.peers.run(ctx, e.f.peers.get(t.Peer, 0), out, t.Peer, e.early)
+	resp, err := e.f.peers.run(ctx, e.f.peers.get(t.Peer), out, t.Peer, e.early)
 	if err != nil {
 		return nil, err
 	}
--- a/mwlib/mwhttp/pool.go
+++ b/mwlib/mwhttp/pool.go
@@ -12,10 +12,9 @@
 
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwshard"
-	"mustardwheel.example/mwlib/mwunit"
 )
 
-// Bounds of connections to other nodes and to backend servers.
+// Bounds of connections to other nodes.
 const (
 	dialTimeout     = time.Second
 	idleConnTimeout = 30 * time.Second
@@ -45,10 +44,9 @@
 	return &pool{m: mwshard.New[mwid.Address, *pooled](mwshard.DefaultShards)}
 }
 
-// get returns the transport to addr, with at most conns connections where
-// conns is above 0.
-func (p *pool) get(addr mwid.Address, conns mwunit.Connections) *http.Transport {
-	e := p.m.GetOrSet(addr, func() *pooled { return &pooled{t: newTransport(conns)} })
+// get returns the transport to addr.
+func (p *pool) get(addr mwid.Address) *http.Transport {
+	e := p.m.GetOrSet(addr, func() *pooled { return &pooled{t: newTransport()} })
 	e.used.Store(time.Now().Unix())
 	return e.t
 }
@@ -81,7 +79,7 @@
 	})
 }
 
-func newTransport(conns mwunit.Connections) *http.Transport {
+func newTransport() *http.Transport {
 	d := &net.Dialer{
 		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUnackedTimeout,
 	}
@@ -95,7 +93,6 @@
 		},
 		MaxIdleConns:          maxIdlePerHost,
 		MaxIdleConnsPerHost:   maxIdlePerHost,
-		MaxConnsPerHost:       int(conns),
 		IdleConnTimeout:       idleConnTimeout,
 		ExpectContinueTimeout: continueTimeout,
 		DisableCompression:    true,
