mwlog: count dropped lines until they are reported

Cause: the count was taken to zero before the report was written, so lines whose report waited for a stalled reader counted nowhere; whether that showed depended on when the writer's goroutine first ran. Now the count falls after the report.

--- a/mwlib/mwlog/log.go
+++ b/mwlib/mwlog/log.go
@@ -129,11 +129,11 @@
 // pass writes one line and, before it, how many were dropped. An error of the
 // reader is no reason to stop: it may come back.
 func (w *Writer) pass(line []byte) {
-	if n := w.dropped.Swap(0); n > 0 {
+	if n := w.dropped.Load(); n > 0 {
 		r := fmt.Sprintf(`{"time":%q,"level":"WARN","msg":"log lines dropped","Lines":%d}`+"\n",
 			time.Now().Format(time.RFC3339Nano), n)
-		if _, err := io.WriteString(w.to, r); err != nil {
-			w.dropped.Add(n)
+		if _, err := io.WriteString(w.to, r); err == nil {
+			w.dropped.Add(-n)
 		}
 	}
 	if _, err := w.to.Write(line); err != nil {
--- a/mwlib/mwlog/log_test.go
+++ b/mwlib/mwlog/log_test.go
@@ -52,6 +52,45 @@
 	})
 }
 
+// slowReader takes one write for each value sent to go.
+type slowReader struct {
+	reader
+	turn chan struct{}
+}
+
+func (r *slowReader) Write(p []byte) (int, error) {
+	<-r.turn
+	return r.reader.Write(p)
+}
+
+// Lines whose report waits for the reader still count as not reported.
+func TestDroppedCountsUntilItIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := &slowReader{turn: make(chan struct{})}
+		w, end := mwlog.New(r, mwlog.WithQueue(10), mwlog.WithRate(1e6))
+		write := func(n int) {
+			for range n {
+				_, err := w.Write([]byte("line\n"))
+				c.Assert(err, qt.IsNil)
+			}
+			synctest.Wait()
+		}
+		write(1) // waits for the reader
+		write(100)
+		c.Check(w.Dropped(), qt.Equals, int64(90))
+		r.turn <- struct{}{}
+		synctest.Wait() // the report waits for the reader
+		c.Check(w.Dropped(), qt.Equals, int64(90))
+		r.turn <- struct{}{}
+		synctest.Wait()
+		c.Check(w.Dropped(), qt.Equals, int64(0))
+		close(r.turn)
+		end()
+		c.Check(r.String(), qt.Contains, `"msg":"log lines dropped","Lines":90}`)
+	})
+}
+
 func TestRateBoundsTheVolume(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
