mwconn: limits of callers for headers and idle connections

The operator's limits of header size, header time and idle time were read and not enforced. The size gives 431 (code 1021), also for bodies in chunks 413; the times hold on open connections as the configuration changes (mwconn).

--- /dev/null
+++ b/mwlib/mwconn/conn_test.go
@@ -0,0 +1,140 @@
+package mwconn_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwconn"
+)
+
+// pipes is a listener whose connections are pipes in memory, so that time in
+// a test is virtual.
+type pipes struct {
+	conns chan net.Conn
+	end   chan struct{}
+}
+
+func (p *pipes) Accept() (net.Conn, error) {
+	select {
+	case c := <-p.conns:
+		return c, nil
+	case <-p.end:
+		return nil, net.ErrClosed
+	}
+}
+
+func (p *pipes) Close() error   { close(p.end); return nil }
+func (p *pipes) Addr() net.Addr { return &net.TCPAddr{} }
+
+// The server's own limits, which no test may reach.
+const (
+	serverHeader = time.Hour
+	serverIdle   = 2 * time.Hour
+)
+
+// rig is a server with a Listener and one connection to it.
+type rig struct {
+	limits atomic.Pointer[mwconn.Limits]
+	caller net.Conn
+}
+
+func newRig(c *qt.C, l mwconn.Limits) *rig {
+	r := &rig{}
+	r.limits.Store(&l)
+	p := &pipes{make(chan net.Conn), make(chan struct{})}
+	srv := &http.Server{
+		ReadHeaderTimeout: serverHeader, IdleTimeout: serverIdle, ConnState: mwconn.NoteState,
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			time.Sleep(time.Minute) // Longer than any limit here.
+			io.Copy(w, r.Body)
+		}),
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		srv.Serve(mwconn.NewListener(p, func() mwconn.Limits { return *r.limits.Load() }))
+	}()
+	c.Cleanup(func() { srv.Close(); <-done })
+	var at net.Conn
+	r.caller, at = net.Pipe()
+	p.conns <- at
+	return r
+}
+
+const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+// answered sends one request and reads its answer.
+func (r *rig) answered(c *qt.C) {
+	_, err := io.WriteString(r.caller, request)
+	c.Assert(err, qt.IsNil)
+	b := make([]byte, 4096)
+	n, err := r.caller.Read(b)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b[:n]), qt.Contains, "200 OK")
+}
+
+// closedAfter returns how long the server keeps the connection.
+func (r *rig) closedAfter() time.Duration {
+	begin := time.Now()
+	io.Copy(io.Discard, r.caller)
+	return time.Since(begin)
+}
+
+func TestLimits(t *testing.T) {
+	limits := mwconn.Limits{Header: 3 * time.Second, Idle: 15 * time.Second}
+	for _, x := range []struct {
+		name     string
+		limits   mwconn.Limits
+		requests int
+		part     string
+		then     *mwconn.Limits
+		want     time.Duration
+	}{
+		{"no request", limits, 0, "", nil, limits.Header},
+		{"part of the first header", limits, 0, "GET / HT", nil, limits.Header},
+		{"idle after a request", limits, 1, "", nil, limits.Idle},
+		{"idle after three requests", limits, 3, "", nil, limits.Idle},
+		{"part of a later header", limits, 1, "GET / HT", nil, limits.Header},
+		{"no limits: the server's", mwconn.Limits{}, 1, "", nil, serverIdle},
+		{"new limits on an open connection", limits, 1, "GET / HT", &mwconn.Limits{Header: time.Second}, time.Second},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				r := newRig(c, x.limits)
+				for range x.requests {
+					r.answered(c)
+				}
+				if x.then != nil {
+					r.limits.Store(x.then)
+				}
+				if x.part != "" {
+					_, err := io.WriteString(r.caller, x.part)
+					c.Assert(err, qt.IsNil)
+				}
+				c.Check(r.closedAfter(), qt.Equals, x.want)
+			})
+		})
+	}
+}
+
+// A request that comes just within the idle limit is answered.
+func TestReuseWithinTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		r := newRig(c, mwconn.Limits{Header: time.Second, Idle: 15 * time.Second})
+		for range 3 {
+			r.answered(c)
+			time.Sleep(12 * time.Second)
+		}
+		r.answered(c)
+		r.caller.Close()
+	})
+}
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -18,6 +18,7 @@
 
 	"mustardwheel.example/mwlib/mwadmin"
 	"mustardwheel.example/mwlib/mwcert"
+	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwhttp"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
@@ -30,6 +31,7 @@
 
 // Bounds of the listeners' connections.
 const (
+	// headerTimeout and idleTimeout hold where the configuration has no limits.
 	headerTimeout = 10 * time.Second
 	idleTimeout   = 2 * time.Minute
 	// drainLinger is how long a draining node still answers other nodes.
@@ -154,6 +156,11 @@
 		*x.to = &listener{Listener: ln}
 		*x.addr = (*x.to).addr()
 	}
+	for _, l := range []*listener{h.entry, h.local} {
+		if l != nil {
+			l.Listener = mwconn.NewListener(l.Listener, h.callerLimits)
+		}
+	}
 	return h.secure()
 }
 
@@ -195,8 +202,8 @@
 	}
 	l.server = &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: int(h.set.Relay.HeaderBytes),
-		ErrorLog:       slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: int(h.set.Relay.HeaderBytes), ConnState: mwconn.NoteState,
+		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
 	h.group.Go(func() error {
 		if err := l.server.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
@@ -206,6 +213,17 @@
 	})
 }
 
+// callerLimits returns the limits in force; there are none before the first
+// configuration.
+func (h *Host) callerLimits() mwconn.Limits {
+	s := h.kernel.Configuration().Snapshot()
+	if s == nil {
+		return mwconn.Limits{}
+	}
+	l := s.CallerLimits()
+	return mwconn.Limits{Header: time.Duration(l.HeaderTimeout), Idle: time.Duration(l.IdleTimeout)}
+}
+
 // requestDrain notes that an operator wants the node to drain.
 func (h *Host) requestDrain() {
 	select {
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -8,6 +8,7 @@
 
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwsetting"
@@ -102,10 +103,13 @@
 	}
 	// The body of r itself stays in place: net/http's server looks at its
 	// type to see whether the sender still waits to be asked for it.
-	b, err := newBody(&patient{http.NewResponseController(w), r.Body, f.idle}, r.ContentLength, f.buffer)
+	in := &patient{http.NewResponseController(w), r.Body, f.idle, f.limits(o).BodyBytes, 0}
+	b, err := newBody(in, r.ContentLength, f.buffer)
 	if err != nil {
-		err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
-		f.refuse(w, c, err, mwcall.Head{Code: mwcode.CallerGone}, between)
+		if mwcode.Of(err) != mwcode.BodyTooLarge {
+			err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
+		}
+		f.refuse(w, c, err, mwcall.Head{Code: mwcode.Of(err)}, between)
 		return
 	}
 	e := &exchange{f: f, w: w, r: r, c: c, body: b, between: between}
@@ -128,18 +132,50 @@
 	return c, err
 }
 
-// withinLimits checks the limits that the configuration sets to callers.
-func (f *Front) withinLimits(r *http.Request, o mwcall.Origin) error {
+// limits returns the limits that the configuration sets to callers; other
+// nodes have none.
+func (f *Front) limits(o mwcall.Origin) mwconfig.CallerLimits {
 	s := f.k.Configuration().Snapshot()
 	if o == mwcall.Peer || s == nil {
-		return nil
+		return mwconfig.CallerLimits{}
+	}
+	return s.CallerLimits()
+}
+
+// withinLimits checks the size of a request as far as its header tells it.
+func (f *Front) withinLimits(r *http.Request, o mwcall.Origin) error {
+	l := f.limits(o)
+	if l.HeaderBytes > 0 && headerSize(r) > l.HeaderBytes {
+		return mwcode.New(mwcode.HeaderTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", l.HeaderBytes)))
 	}
-	if most := s.CallerLimits().BodyBytes; most > 0 && r.ContentLength > int64(most) {
-		return mwcode.New(mwcode.BodyTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", most)))
+	if l.BodyBytes > 0 && r.ContentLength > int64(l.BodyBytes) {
+		return tooLarge(l.BodyBytes)
 	}
 	return nil
 }
 
+func tooLarge(most mwunit.Bytes) error {
+	return mwcode.New(mwcode.BodyTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", most)))
+}
+
+// Bytes of a request's header beside its values.
+const (
+	requestLineBytes = len("  HTTP/1.1\r\n")
+	headerLineBytes  = len(": \r\n")
+	hostLineBytes    = len("Host: \r\n")
+)
+
+// headerSize returns the size of r's header as it came.
+func headerSize(r *http.Request) mwunit.Bytes {
+	n := requestLineBytes + len(r.Method) + len(r.RequestURI) + hostLineBytes + len(r.Host)
+	for k, vs := range r.Header {
+		for _, v := range vs {
+			n += headerLineBytes + len(k) + len(v)
+		}
+	}
+	return mwunit.Bytes(n)
+}
+
 // refuse answers with err, to another node by the headers for nodes.
 func (f *Front) refuse(w http.ResponseWriter, c *mwcall.Call, err error, h mwcall.Head, between bool) {
 	if between {
@@ -149,17 +185,23 @@
 	f.dialect.Refuse(w, c, err, h)
 }
 
-// patient is a request body whose sender may be silent for idle at a time.
+// patient is a request body whose sender may be silent for idle at a time
+// and may send up to most bytes, 0 for any number.
 type patient struct {
 	rc   *http.ResponseController
 	body io.Reader
 	idle time.Duration
+	most mwunit.Bytes
+	n    mwunit.Bytes // n is the number of bytes read.
 }
 
 // Read reads within idle.
 func (p *patient) Read(b []byte) (int, error) {
 	p.rc.SetReadDeadline(time.Now().Add(p.idle))
 	n, err := p.body.Read(b)
+	if p.n += mwunit.Bytes(n); p.most > 0 && p.n > p.most {
+		err = tooLarge(p.most)
+	}
 	if err != nil {
 		p.rc.SetReadDeadline(time.Time{})
 	}
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -63,7 +63,6 @@
 	var c checker
 	c.must(n.Place.Zone != "", "zone", "the name of an availability zone")
 	c.must(n.Place.Region != "", "region", "the name of a region")
-	c.optional(n.Place.Backend, "backend")
 	c.listen(n.Listen)
 	c.store(n.Store)
 	c.member(n.Member)
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -30,7 +30,6 @@
 	Region mwid.RegionName `long:"region" env:"REGION" description:"region of the availability zone" required:"true"`
 
 	Service mwid.ServiceName `long:"service" env:"SERVICE" description:"service of this VM's backend server, where it is known; other announcements are refused then"`
-	Backend mwid.Address     `long:"backend" env:"BACKEND" description:"address of this VM's backend server, IP:port, where it is known"`
 }
 
 // Listen holds the addresses of the listeners, "IP:port" each.
