mwhttp: calls to other nodes over own connections

Cause: net/http's Transport has two goroutines and two buffers for each connection between nodes. Calls with a short body now use the connections that backend servers get (links). Long bodies still go by the Transport, which asks before it sends them.

--- a/mwlib/mwbudget/window.go
+++ b/mwlib/mwbudget/window.go
@@ -12,7 +12,8 @@
 // in that span or in the one before it, whichever has more, and a slack
 // beside. A service that fails as a whole for some seconds so has the
 // repetitions of its calm time to draw on, which a bucket filled by successes
-// does not give.
+// does not give. They are spread over the span: the last fifth of it may have
+// half more than its part.
 type Windows[K comparable] struct {
 	ratio mwunit.Ratio
 	slack mwunit.Attempts
@@ -21,8 +22,14 @@
 	m     *mwshard.Map[K, window]
 }
 
-// slices is the number of slices of time in a span.
-const slices = 10
+const (
+	// slices is the number of slices of time in a span.
+	slices = 10
+	// paceSlices is the number of slices over which repetitions are spread.
+	paceSlices = 2
+	// paceBurst is by how much more may be used in these than in the long run.
+	paceBurst = 1.5
+)
 
 // window counts tries in slices of time, those of the last two spans.
 type window struct {
@@ -49,12 +56,14 @@
 	w.update(k, now, func(x *window, i int) { x.repeat[i]++ })
 }
 
-// Spend counts a repetition where those of the last span stay below the part
-// share of what is allowed, and tells whether it did.
+// Spend counts a repetition where those of the last span stay within what is
+// allowed, and the latest of them within the part share of their pace. It
+// tells whether it did.
 func (w *Windows[K]) Spend(k K, share mwunit.Ratio, now time.Time) bool {
 	ok := false
 	w.update(k, now, func(x *window, i int) {
-		ok = float64(x.repeats()+1) <= float64(share)*w.allowed(x)
+		ok = float64(x.repeats()+1) <= w.allowed(x) &&
+			float64(x.recent(&x.repeat)+1) <= float64(share)*w.pace(x)
 		if ok {
 			x.repeat[i]++
 		}
@@ -62,19 +71,31 @@
 	return ok
 }
 
-// Used returns the part of what is allowed for k that the repetitions of the
-// last span of q use; q may be a part of k that is counted by itself.
+// Used returns the part of the pace of k that the latest repetitions of q use;
+// q may be a part of k that is counted by itself.
 func (w *Windows[K]) Used(k, q K, now time.Time) mwunit.Ratio {
-	var allowed float64
-	w.update(k, now, func(x *window, _ int) { allowed = w.allowed(x) })
+	var most float64
+	w.update(k, now, func(x *window, _ int) { most = w.pace(x) })
 	var n int32
-	w.update(q, now, func(x *window, _ int) { n = x.repeats() })
-	if allowed == 0 {
+	w.update(q, now, func(x *window, _ int) { n = x.recent(&x.repeat) })
+	if most == 0 {
 		return 1
 	}
-	return mwunit.Ratio(float64(n) / allowed)
+	return mwunit.Ratio(float64(n) / most)
+}
+
+// pace returns how many of the repetitions allowed for a span the latest
+// slices may have. It follows the load of the span, as one that fails has
+// fewer first tries, and that of the latest slices where a load is new.
+func (w *Windows[K]) pace(x *window) float64 {
+	allowed := w.allowed(x)
+	latest := float64(w.ratio) * float64(x.recent(&x.first))
+	return max(paceBurst*max(allowed*paceSlices/slices, latest), min(allowed, unpaced))
 }
 
+// unpaced is the number of repetitions that need not be spread.
+const unpaced = 5
+
 // allowed returns how many repetitions a span may have.
 func (w *Windows[K]) allowed(x *window) float64 {
 	return float64(w.ratio)*float64(x.firsts()) + float64(w.slack)
@@ -120,6 +141,15 @@
 	return n
 }
 
+// recent returns the sum of the slices that the pace is for.
+func (x *window) recent(tries *[2 * slices]int32) int32 {
+	var n int32
+	for d := range int64(paceSlices) {
+		n += tries[x.index(d)]
+	}
+	return n
+}
+
 // index returns the index of the slice that is d before the newest one.
 func (x *window) index(d int64) int64 {
 	return (x.at - d + 4*slices) % (2 * slices)
--- a/mwlib/mwcall/priority.go
+++ b/mwlib/mwcall/priority.go
@@ -28,6 +28,12 @@
 	return p | Priority(uint32(xxhash.Sum64String(string(r))))
 }
 
+// Spread returns where p stands among the calls of its importance, from 0 for
+// those that are kept longest up to 1. All calls of one request have the same.
+func (p Priority) Spread() float64 {
+	return 1 - float64(uint32(p))/(1<<32)
+}
+
 // Importance returns the importance that p was made from.
 func (p Priority) Importance() mwunit.Importance {
 	return mwunit.Importance(p >> importanceShift)
--- a/mwlib/mwclaim/plugin.go
+++ b/mwlib/mwclaim/plugin.go
@@ -25,7 +25,7 @@
 		WithInline(set.Inline),
 	}
 	if env.Peers != nil && env.Membership != nil && env.Store != nil {
-		opts = append(opts, WithGroup(env.Peers, env.Settings.Listen.Peer, zonePeers(env), set.Writers))
+		opts = append(opts, WithGroup(env.Peers, env.Settings.Listen.PeerAddress(), zonePeers(env), set.Writers))
 	}
 	l, end, err := New(env.Store, opts...)
 	return l, end, err
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -38,10 +38,7 @@
 func (e *exchange) Forward(ctx context.Context, c *mwcall.Call, t mwcall.Target) (mwkernel.Answer, error) {
 	out := e.request(t.Peer)
 	encodePeer(out.Header, c, t.Region != e.f.k.Self().Region, time.Now())
-	if e.body.large() {
-		out.Header.Set("Expect", "100-continue")
-	}
-	resp, err := e.f.peers.run(ctx, e.f.peers.get(t.Peer), out, t.Peer, e.early)
+	resp, err := e.toPeer(ctx, out, t.Peer)
 	if err != nil {
 		return nil, err
 	}
@@ -60,6 +57,19 @@
 	return a, nil
 }
 
+// toPeer sends out to another node, which asks for a long body only once it
+// has admitted the call.
+func (e *exchange) toPeer(ctx context.Context, out *http.Request, addr mwid.Address) (*http.Response, error) {
+	if e.body.large() {
+		out.Header.Set("Expect", "100-continue")
+		return e.f.peers.run(ctx, e.f.peers.get(addr), out, addr, e.early)
+	}
+	return e.f.short.run(ctx, out, addr, anyAnswer, e.early)
+}
+
+// anyAnswer takes each answer: nodes send one for each call.
+func anyAnswer(http.Header) bool { return true }
+
 // Deliver hands c to the backend server announced by a.
 func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
 	out := e.request(a.Address)
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -26,7 +26,8 @@
 	dialect  Dialect
 	buffer   mwunit.Bytes
 	idle     time.Duration
-	peers    *pool
+	peers    *pool  // peers is for calls with a long body.
+	short    *links // short is for the other calls to other nodes.
 	backends *links
 }
 
@@ -50,15 +51,17 @@
 	mwoption.Apply(&o, opts...)
 	f := &Front{
 		k: k, dialect: o.dialect, buffer: set.Buffer, idle: set.Idle,
-		peers: newPool(), backends: newLinks(),
+		peers: newPool(), short: newLinks(peerLinks), backends: newLinks(backendLinks),
 	}
 	stop := mwtimer.Every(sweepPeriod, func(now time.Time) {
 		f.peers.sweep(now)
+		f.short.sweep(now)
 		f.backends.sweep(now)
 	})
 	return f, func() {
 		stop()
 		f.peers.close()
+		f.short.close()
 		f.backends.close()
 	}
 }
--- a/mwlib/mwhttp/link.go
+++ b/mwlib/mwhttp/link.go
@@ -18,40 +18,59 @@
 	"mustardwheel.example/mwlib/mwshard"
 )
 
-// links keeps the connections to backend servers. It reads and writes with
-// net/http's own functions, but not through its Transport: a backend server
-// may send an answer twice, late or with bytes after its end, and only the
-// owner of the connection can pass over an answer that belongs to an earlier
-// call and still read the right one.
-//
-// Connections are used in turn, the one that rested longest first, so that
-// few of them reach the backend server's idle timeout.
+// links keeps the connections to backend servers, and those to other nodes for
+// calls with a short body. It reads and writes with net/http's own functions,
+// but not through its Transport: a backend server may send an answer twice,
+// late or with bytes after its end, and only the owner of the connection can
+// pass over an answer that belongs to an earlier call and still read the right
+// one. It also has no goroutines for each connection.
 type links struct {
-	m *mwshard.Map[mwid.Address, *linkSet]
-}
+	m    *mwshard.Map[mwid.Address, *linkSet]
+	rule linkRule
+}
+
+// linkRule tells how connections are kept.
+type linkRule struct {
+	// dial bounds the opening of a connection.
+	dial time.Duration
+	// idle is how long a connection rests unused where the other side does
+	// not say.
+	idle time.Duration
+	// newest takes the connection that rested shortest, so that those that a
+	// peak has opened are given up. Else they are used in turn, so that few
+	// of them reach the other side's idle timeout.
+	newest bool
+}
+
+// Rules of connections.
+var (
+	backendLinks = linkRule{dial: linkDialTimeout, idle: linkIdle}
+	peerLinks    = linkRule{dial: dialTimeout, idle: idleConnTimeout, newest: true}
+)
 
-// linkSet is the idle connections to one backend server.
+// linkSet is the idle connections to one address.
 type linkSet struct {
 	addr mwid.Address
+	rule linkRule
 	mu   sync.Mutex
 	idle []*link
 	used time.Time
 }
 
-// link is one connection to a backend server, used by one call at a time.
+// link is one connection, used by one call at a time.
 type link struct {
 	set   *linkSet
 	conn  net.Conn
 	r     *bufio.Reader
-	until time.Time // until is when the backend server may close it.
+	until time.Time // until is when the other side may close it.
 }
 
 // Times of connections to backend servers.
 const (
 	// linkDialTimeout bounds the opening of a connection within the VM.
 	linkDialTimeout = 500 * time.Millisecond
-	// linkIdle is how long a connection rests unused where the backend server
-	// does not say.
+	// linkIdle is how long a connection to a backend server rests unused where
+	// that does not say.
 	linkIdle = 8 * time.Second
 	// linkMargin is how long before the backend server's own idle timeout a
 	// connection is given up.
@@ -66,12 +85,12 @@
 	strayBytes = 1 << 20
 )
 
-func newLinks() *links {
-	return &links{m: mwshard.New[mwid.Address, *linkSet](mwshard.DefaultShards)}
+func newLinks(r linkRule) *links {
+	return &links{m: mwshard.New[mwid.Address, *linkSet](mwshard.DefaultShards), rule: r}
 }
 
 func (l *links) set(addr mwid.Address) *linkSet {
-	return l.m.GetOrSet(addr, func() *linkSet { return &linkSet{addr: addr} })
+	return l.m.GetOrSet(addr, func() *linkSet { return &linkSet{addr: addr, rule: l.rule} })
 }
 
 // sweep closes what was unused for too long.
@@ -123,7 +142,7 @@
 	s.idle = nil
 }
 
-// pop returns the connection that rested longest, or nil.
+// pop returns the next connection to use, or nil.
 func (s *linkSet) pop(now time.Time) *link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -131,6 +150,12 @@
 	if len(s.idle) == 0 {
 		return nil
 	}
+	if last := len(s.idle) - 1; s.rule.newest {
+		k := s.idle[last]
+		s.idle[last] = nil
+		s.idle = s.idle[:last]
+		return k
+	}
 	k := s.idle[0]
 	s.idle = s.idle[1:]
 	return k
@@ -157,7 +182,7 @@
 }
 
 func (s *linkSet) dial(ctx context.Context) (*link, error) {
-	d := net.Dialer{Timeout: linkDialTimeout, Control: setUnackedTimeout}
+	d := net.Dialer{Timeout: s.rule.dial, KeepAlive: keepAlivePeriod, Control: setUnackedTimeout}
 	conn, err := d.DialContext(ctx, "tcp", string(s.addr))
 	if err != nil {
 		code := mwcode.ConnectFailed
@@ -202,12 +227,12 @@
 		k.conn.Close()
 		return
 	}
-	k.until = time.Now().Add(idleOf(resp.Header))
+	k.until = time.Now().Add(k.set.rule.idleOf(resp.Header))
 	k.set.push(k)
 }
 
 // idleOf returns how long a connection may rest after an answer with h.
-func idleOf(h http.Header) time.Duration {
+func (r linkRule) idleOf(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		v, ok := strings.CutPrefix(strings.TrimSpace(part), "timeout=")
 		if !ok {
@@ -217,5 +242,5 @@
 			return max(time.Duration(n)*time.Second-linkMargin, 0)
 		}
 	}
-	return linkIdle
+	return r.idle
 }
--- a/mwlib/mwhttp/linkcall.go
+++ b/mwlib/mwhttp/linkcall.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"sync"
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
@@ -97,8 +98,16 @@
 	return nil
 }
 
+// writers are the buffers of requests on their way out.
+var writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, linkBuffer) }}
+
 func (c *linkCall) send() error {
-	w := bufio.NewWriterSize(c.k.conn, linkBuffer)
+	w := writers.Get().(*bufio.Writer)
+	w.Reset(c.k.conn)
+	defer func() {
+		w.Reset(nil)
+		writers.Put(w)
+	}()
 	if err := c.out.Write(w); err != nil {
 		return err
 	}
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -87,13 +87,13 @@
 	mwoption.Apply(&o, opts...)
 	boot := mwid.NewBootID()
 	env := Env{
-		Node: mwid.NewNodeID(set.Listen.Peer, boot), Boot: boot, Settings: set,
+		Node: mwid.NewNodeID(set.Listen.PeerAddress(), boot), Boot: boot, Settings: set,
 		Log: o.log, Metrics: o.metrics, Peers: o.peers, Store: o.store,
 	}
 	k := &Kernel{
 		set: set, log: o.log, stat: newStats(o.metrics),
 		place: mwcall.Target{
-			Node: env.Node, Peer: set.Listen.Peer, Zone: set.Place.Zone, Region: set.Place.Region,
+			Node: env.Node, Peer: set.Listen.PeerAddress(), Zone: set.Place.Zone, Region: set.Place.Region,
 		},
 		accounts: newAccounts(), parents: newParents(), life: newLife(),
 	}
--- a/mwlib/mwretry/window.go
+++ b/mwlib/mwretry/window.go
@@ -27,6 +27,12 @@
 // important ones a part: without that, the many calls of little importance
 // would leave nothing to the few of great one. Those between have a part of
 // their own.
+//
+// A request that needs several calls of such a service succeeds only where
+// each of them does, so that one repetition for each call of every request
+// saves hardly any of them. The nearer the repetitions come to what is
+// allowed, the fewer requests may use the rest, picked by the hash of their
+// root, which is the same at all nodes; these get as many as they need.
 type Window struct {
 	chain   mwunit.Attempts
 	windows *mwbudget.Windows[windowKey]
@@ -60,6 +66,10 @@
 	// ownShare is the part of the repetitions that calls of each importance
 	// but the least may use, whatever more important ones use.
 	ownShare = 0.25
+	// rootsShare is the part of its repetitions that a request's place among
+	// those of its importance decides about; the rest is for all of them, as
+	// a small part of failures leaves it unused.
+	rootsShare = 0.3
 	// rankSpan is how long a range of importance holds.
 	rankSpan = 20 * time.Second
 )
@@ -114,6 +124,7 @@
 	if c.Class.Importance > r.least && w.windows.Used(whole, own, now) < ownShare {
 		share = 1
 	}
+	share *= mwunit.Ratio(1 - rootsShare*c.Class.Priority.Spread())
 	if !w.windows.Spend(whole, share, now) {
 		w.denied.Inc()
 		return false
--- a/mwlib/mwretry/window_test.go
+++ b/mwlib/mwretry/window_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,13 +11,17 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwretry"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
+// callOf returns a call of a new root.
 func callOf(i mwunit.Importance) *mwcall.Call {
-	c := &mwcall.Call{Service: "korrektur"}
+	c := &mwcall.Call{Service: "korrektur", Root: mwid.RootID(strconv.Itoa(rand.Int()))}
 	c.Class.Importance, c.Class.Retries = i, 1
+	c.Class.Priority = mwcall.NewPriority(i, true, c.Root)
 	return c
 }
 
@@ -61,6 +67,85 @@
 	})
 }
 
+// request is a request that needs calls of one service, one after the other.
+type request struct {
+	call *mwcall.Call
+	left int // left is the number of calls that are not answered yet.
+	sent bool
+}
+
+// step makes one try of the call that is due, which the service sheds or
+// answers, and tells whether the request goes on.
+func (r *request) step(p mwkernel.RetryPolicy, shed bool) bool {
+	if !r.sent {
+		p.Began(r.call)
+		r.sent = true
+	}
+	if shed {
+		return p.Allow(r.call, mwcall.Head{})
+	}
+	r.left--
+	r.sent = false
+	return r.left > 0
+}
+
+// TestWholeRequestsGetTheRepetitions replays a service that sheds 55 in 100
+// calls for 8 s, and of which each request needs four calls. A request that
+// gets one repetition for each call ends well in a fifth of the cases, and
+// one that gets none in a twenty-fifth; the repetitions allowed are enough
+// for three fifths of the orders.
+func TestWholeRequestsGetTheRepetitions(t *testing.T) {
+	const (
+		tick   = 20 * time.Millisecond
+		shed   = 0.55
+		needs  = 4
+		orders = 2 // Orders and browsing in a tick.
+		browse = 4
+		second = int(time.Second / tick)
+		calm   = 10 // Seconds.
+		outage = 8
+	)
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		p := policy(c, mwretry.WindowName, false)
+		rnd := rand.New(rand.NewPCG(1, 0))
+		var open []*request
+		whole := make(map[mwunit.Importance]int)
+		run := func(seconds int, shed float64) {
+			for range seconds * second {
+				for n := range orders + browse {
+					i := mwunit.Importance(80)
+					if n < orders {
+						i = 100
+					}
+					open = append(open, &request{call: callOf(i), left: needs})
+				}
+				open = slices.DeleteFunc(open, func(r *request) bool {
+					on := r.step(p, rnd.Float64() < shed)
+					if r.left == 0 {
+						whole[r.call.Class.Importance]++
+					}
+					return !on
+				})
+				time.Sleep(tick)
+			}
+		}
+		run(calm, 0)
+		clear(whole)
+		run(outage/2, shed)
+		early := whole[100]
+		run(outage/2, shed)
+		late := whole[100] - early
+		c.Logf("whole: orders %d and %d of %d, browsing %d of %d",
+			early, late, orders*second*outage, whole[80], browse*second*outage)
+		// An order needs shed/(1-shed) repetitions for each call.
+		allowed := 0.2 * calm * float64(second*(orders+browse)*needs)
+		can := allowed / (needs * shed / (1 - shed))
+		c.Check(float64(whole[100]) >= can*2/3, qt.IsTrue, qt.Commentf("%.0f can", can))
+		c.Check(late*2 >= early, qt.IsTrue, qt.Commentf("the second half gets half of the first at the least"))
+	})
+}
+
 // Calls of a run that was itself a repetition count as repetitions.
 func TestCallsOfARepeatedRunCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -137,6 +137,7 @@
 	if l.Local != "" {
 		c.loopback(l.Local, "local")
 	}
+	c.optional(l.Reach, "reach")
 	c.optional(l.Control, "control")
 	c.optional(l.Ready, "ready")
 	c.address(l.Peer, "peer")
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -37,6 +37,7 @@
 	Entry   mwid.Address `long:"entry" env:"ENTRY" default:"127.0.0.1:7000" description:"address for callers, IP:port"`
 	Local   mwid.Address `long:"local" env:"LOCAL" default:"127.0.0.1:7001" description:"loopback address for this VM's backend server, IP:port; empty for none"`
 	Peer    mwid.Address `long:"peer" env:"PEER" default:"127.0.0.1:7002" description:"address for other nodes, IP:port"`
+	Reach   mwid.Address `long:"reach" env:"REACH" description:"address by which other nodes reach --peer, IP:port, where that is another one, as behind a translation of addresses"`
 	Admin   mwid.Address `long:"admin" env:"ADMIN" default:"127.0.0.1:7003" description:"loopback address for operators: status, metrics, health, IP:port"`
 	Control mwid.Address `long:"control" env:"CONTROL" description:"address for announcements by this VM's backend server in the dialect of --use.dialect, IP:port; empty for none"`
 	Ready   mwid.Address `long:"ready" env:"READY" description:"address for questions whether this node takes calls, IP:port; empty for none"`
@@ -46,6 +47,14 @@
 	KeyFile  string `long:"tls-key" env:"TLS_KEY" description:"key file, PEM, of --tls-cert"`
 }
 
+// PeerAddress returns the address that other nodes use.
+func (l Listen) PeerAddress() mwid.Address {
+	if l.Reach != "" {
+		return l.Reach
+	}
+	return l.Peer
+}
+
 // Plugins names the plug-in of each extension point.
 type Plugins struct {
 	Dialect       mwregistry.Name `long:"dialect" env:"DIALECT" default:"headers" description:"headers and statuses that callers and backend servers use"`
