mwsoak: a soak with real nodes as processes and faults from outside them

Proxies delay, reset, cut one way and silence the connections of each node; processes are killed, ended, paused and hung up; the store and backend servers fail.

--- a/mwsoak/internal/mwcheck/check.go
+++ b/mwsoak/internal/mwcheck/check.go
@@ -5,6 +5,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -63,6 +65,7 @@
 	faults     int
 	versions   map[Life]seen
 	violations []Violation
+	broken     map[Promise]int
 	counts     Counts
 }
 
@@ -101,6 +104,7 @@
 	return &Checker{
 		bounds: b, requests: mwshard.New[mwid.RequestID, request](mwshard.DefaultShards),
 		left: make(map[string]time.Time), versions: make(map[Life]seen),
+		broken: make(map[Promise]int),
 	}
 }
 
@@ -126,8 +130,14 @@
 	return c.faults == 0 && at.Sub(c.harmed) >= c.bounds.Contact
 }
 
+// kept is how many violations of each promise are kept.
+const kept = 5
+
 func (c *Checker) violate(p Promise, subject, format string, args ...any) {
-	c.violations = append(c.violations, Violation{p, subject, fmt.Sprintf(format, args...), time.Now()})
+	c.broken[p]++
+	if c.broken[p] <= kept {
+		c.violations = append(c.violations, Violation{p, subject, fmt.Sprintf(format, args...), time.Now()})
+	}
 }
 
 // Ran notes that the backend server instance began to work on a request at a
@@ -224,9 +234,10 @@
 	}
 }
 
-// Result returns what was found and how much was seen.
-func (c *Checker) Result() ([]Violation, Counts) {
+// Result returns the first violations, how often each promise was broken, and
+// how much was seen.
+func (c *Checker) Result() ([]Violation, map[Promise]int, Counts) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]Violation(nil), c.violations...), c.counts
+	return slices.Clone(c.violations), maps.Clone(c.broken), c.counts
 }
--- a/mwsoak/internal/mwcheck/check_test.go
+++ b/mwsoak/internal/mwcheck/check_test.go
@@ -83,7 +83,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			k := mwcheck.New(bounds)
 			x.do(k)
-			vs, _ := k.Result()
+			vs, _, _ := k.Result()
 			var got []mwcheck.Promise
 			for _, v := range vs {
 				got = append(got, v.Promise)
--- /dev/null
+++ b/mwsoak/internal/mwscene/fault.go
@@ -0,0 +1,130 @@
+package mwscene
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"mustardwheel.example/mwlib/mwregistry"
+	"mustardwheel.example/mwlib/mwtimer"
+	"mustardwheel.example/mwsoak/internal/mwplan"
+	"mustardwheel.example/mwsoak/internal/mwproxy"
+	"mustardwheel.example/platform/mwstandin"
+)
+
+// Fault is one kind of fault.
+type Fault struct {
+	// Do does what an event says, and returns when it is over.
+	Do func(mwplan.Event)
+	// Planned tells that it is planned work, beside which all bounds hold.
+	Planned bool
+}
+
+// Faults are the kinds of faults, which register themselves.
+var Faults = mwregistry.New[*Scene, Fault]("fault")
+
+func nameOf(k mwplan.Kind) mwregistry.Name { return mwregistry.Name(k) }
+
+// Kinds returns the kinds of faults in a fixed order.
+func Kinds() []mwplan.Kind {
+	var ks []mwplan.Kind
+	for _, n := range Faults.Names() {
+		ks = append(ks, mwplan.Kind(n))
+	}
+	return ks
+}
+
+func sleep(ctx context.Context, d time.Duration) { mwtimer.Sleep(ctx, d) }
+
+// register registers a kind of fault.
+func register(k mwplan.Kind, f func(*Scene, mwplan.Event)) { add(k, f, false) }
+
+// planned registers a kind of planned work.
+func planned(k mwplan.Kind, f func(*Scene, mwplan.Event)) { add(k, f, true) }
+
+func add(k mwplan.Kind, f func(*Scene, mwplan.Event), planned bool) {
+	Faults.Register(nameOf(k), func(s *Scene) (Fault, mwregistry.Cleanup, error) {
+		return Fault{Do: func(e mwplan.Event) { f(s, e) }, Planned: planned}, nil, nil
+	})
+}
+
+// onNode registers a kind of fault of a node.
+func onNode(k mwplan.Kind, f func(*Scene, *node, mwplan.Event)) {
+	register(k, func(s *Scene, e mwplan.Event) { f(s, s.nodes[e.Node], e) })
+}
+
+// onWay registers a kind of fault of a connection.
+func onWay(k mwplan.Kind, f func(p *mwproxy.Proxy, forS func())) {
+	onNode(k, func(s *Scene, n *node, e mwplan.Event) {
+		f(n.ways[e.Way], func() { sleep(s.stop, e.For) })
+	})
+}
+
+// onStore registers a kind of fault of the store.
+func onStore(k mwplan.Kind, f mwstandin.Fault) {
+	register(k, func(s *Scene, e mwplan.Event) {
+		s.setStore(f)
+		sleep(s.stop, e.For)
+		s.setStore(mwstandin.Fault{})
+	})
+}
+
+func (s *Scene) setStore(f mwstandin.Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Strengths of faults.
+const (
+	linkDelay  = 150 * time.Millisecond
+	storeDelay = 500 * time.Millisecond
+	// termWait is how long after SIGTERM a process is killed.
+	termWait = grace
+)
+
+func init() {
+	onNode("node-kill", func(_ *Scene, n *node, _ mwplan.Event) { n.signal(syscall.SIGKILL) })
+	onNode("node-term", func(s *Scene, n *node, _ mwplan.Event) {
+		select {
+		case <-n.signal(syscall.SIGTERM):
+		case <-time.After(termWait):
+			n.signal(syscall.SIGKILL)
+		case <-s.stop.Done():
+		}
+	})
+	onNode("node-pause", func(s *Scene, n *node, e mwplan.Event) {
+		n.signal(syscall.SIGSTOP)
+		sleep(s.stop, e.For)
+		n.signal(syscall.SIGCONT)
+	})
+	onNode("node-hup", func(_ *Scene, n *node, _ mwplan.Event) { n.signal(syscall.SIGHUP) })
+
+	onWay("way-delay", func(p *mwproxy.Proxy, forS func()) { heal := p.Delay(linkDelay); forS(); heal() })
+	onWay("way-reset", func(p *mwproxy.Proxy, _ func()) { p.Reset() })
+	onWay("way-silence", func(p *mwproxy.Proxy, _ func()) { p.Silence() })
+	onWay("way-cut", func(p *mwproxy.Proxy, forS func()) {
+		heal := p.Cut(mwproxy.Forth, mwproxy.Back)
+		forS()
+		heal()
+	})
+	onWay("way-cut-forth", func(p *mwproxy.Proxy, forS func()) { heal := p.Cut(mwproxy.Forth); forS(); heal() })
+	onWay("way-cut-back", func(p *mwproxy.Proxy, forS func()) { heal := p.Cut(mwproxy.Back); forS(); heal() })
+
+	onStore("store-away", mwstandin.Fault{Status: 503})
+	onStore("store-busy", mwstandin.Fault{Status: 429})
+	onStore("store-silent", mwstandin.Fault{Silent: true})
+	onStore("store-lost", mwstandin.Fault{Lost: true})
+	onStore("store-slow", mwstandin.Fault{Delay: storeDelay})
+	register("store-forget", func(s *Scene, _ mwplan.Event) { s.store.Forget() })
+
+	onNode("backend-crash", func(s *Scene, n *node, e mwplan.Event) { n.crashBackend(e.For, "") })
+	onNode("backend-again", func(s *Scene, n *node, e mwplan.Event) { n.crashBackend(e.For, "same") })
+	planned("backend-leave", func(s *Scene, e mwplan.Event) { s.nodes[e.Node].replace() })
+
+	planned("config", func(s *Scene, _ mwplan.Event) {
+		if err := s.configure(); err != nil {
+			panic(err) // A configuration is always encoded.
+		}
+	})
+}
--- /dev/null
+++ b/mwsoak/internal/mwscene/node.go
@@ -0,0 +1,330 @@
+package mwscene
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwsoak/internal/mwcheck"
+	"mustardwheel.example/mwsoak/internal/mwproxy"
+	"mustardwheel.example/platform/mwstandin"
+)
+
+// Ways are the connections of a node that have a proxy.
+const (
+	wayEntry   = iota // From callers.
+	wayPeer           // From other nodes.
+	wayStore          // To the store.
+	wayControl        // From its backend server's announcements.
+	Ways
+)
+
+// node is one VM: a node's process with the proxies before it, and its backend
+// server. The process starts again by itself.
+type node struct {
+	s     *Scene
+	index int
+	ports [5]string // Addresses of entry, peer, admin, control and ready.
+	ways  [Ways]*mwproxy.Proxy
+	front string // front is where callers and plants reach the node.
+	ctl   string // ctl is where announcements reach it.
+	ends  []func()
+	log   *os.File
+
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{} // done is closed when cmd has ended.
+	starts  int
+	ended   bool
+	backend *backend
+}
+
+// Times of a node's process, as the platform's.
+const (
+	restartAfter = 500 * time.Millisecond
+	grace        = 6 * time.Second
+)
+
+func (s *Scene) newNode(index int) (*node, error) {
+	n := &node{s: s, index: index}
+	for i := range n.ports {
+		a, err := freeAddress()
+		if err != nil {
+			return nil, err
+		}
+		n.ports[i] = a
+	}
+	for i, to := range [Ways]string{n.ports[0], n.ports[1], s.at, n.ports[3]} {
+		p, end, err := mwproxy.New(to)
+		if err != nil {
+			return n, err
+		}
+		n.ways[i] = p
+		n.ends = append(n.ends, end)
+	}
+	n.front, n.ctl = n.ways[wayEntry].Address(), n.ways[wayControl].Address()
+	if err := n.plant(); err != nil {
+		return n, err
+	}
+	if err := n.openLog(); err != nil {
+		return n, err
+	}
+	if err := n.start(); err != nil {
+		return n, err
+	}
+	return n, n.startBackend("")
+}
+
+// Ports of nodes lie below those that the kernel gives to connections, so that
+// a node finds its own ones free when it starts again.
+const (
+	firstPort = 11000
+	ports     = 18000
+	// portStride sets soaks that run at the same time apart.
+	portStride = 997
+)
+
+// portsTaken counts the ports that this process tried.
+var portsTaken atomic.Int64
+
+func freeAddress() (string, error) {
+	for range ports {
+		n := (int64(os.Getpid())*portStride + portsTaken.Add(1)) % ports
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+n)
+		ln, err := net.Listen("tcp", a)
+		if err != nil {
+			continue // Another program has it.
+		}
+		return a, ln.Close()
+	}
+	return "", errors.New("mwscene: no free port")
+}
+
+func (n *node) openLog() error {
+	if n.s.cfg.Logs == "" {
+		return nil
+	}
+	f, err := os.Create(filepath.Join(n.s.cfg.Logs, fmt.Sprintf("seed-%d-node-%d.log", n.s.cfg.Plan.Seed, n.index)))
+	if err != nil {
+		return fmt.Errorf("mwscene: %w", err)
+	}
+	n.log = f
+	n.ends = append(n.ends, func() { f.Close() })
+	return nil
+}
+
+// zone returns the availability zone and the region: nodes stand in two of
+// each in turn.
+func (n *node) zone() (zone, region string) {
+	if n.index%2 == 0 {
+		return "wien-a", "wien"
+	}
+	return "graz-a", "graz"
+}
+
+func (n *node) service() string {
+	if n.index/2%2 == 0 {
+		return serviceA
+	}
+	return serviceB
+}
+
+// args are the settings, those of deploy/node.ini.
+func (n *node) args() []string {
+	zone, region := n.zone()
+	return []string{
+		"--zone=" + zone, "--region=" + region, "--service=" + n.service(),
+		"--entry=" + n.ports[0], "--local=", "--peer=" + n.ports[1], "--admin=" + n.ports[2],
+		"--control=" + n.ports[3], "--ready=" + n.ports[4],
+		"--reach=" + n.ways[wayPeer].Address(), "--store.address=" + n.ways[wayStore].Address(),
+		"--use.dialect=platform", "--use.source=platform", "--use.store=platform",
+		"--use.ledger=none", "--use.router=expect", "--use.retry=window", "--admit.limiter=slots",
+		"--admit.medium-after=5s", "--admit.long-after=5s", "--relay.margin=15ms",
+		"--relay.drain=5500ms", "--retry.window-ratio=0.15",
+	}
+}
+
+// start starts the process, which starts again whenever it ends.
+func (n *node) start() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		return nil
+	}
+	cmd := exec.Command(n.s.cfg.Program, n.args()...)
+	if n.log != nil {
+		cmd.Stdout, cmd.Stderr = n.log, n.log
+	}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("mwscene: %w", err)
+	}
+	n.starts++
+	n.cmd, n.done = cmd, make(chan struct{})
+	go n.watch(cmd, n.done)
+	return nil
+}
+
+// watch starts the process again after its end.
+func (n *node) watch(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	var exit *exec.ExitError
+	if err != nil && !errors.As(err, &exit) {
+		fmt.Fprintln(os.Stderr, "mwscene: waiting for a node:", err)
+	}
+	close(done)
+	time.Sleep(restartAfter)
+	if err := n.start(); err != nil {
+		fmt.Fprintln(os.Stderr, "mwscene: node", n.index, "does not start again:", err)
+	}
+}
+
+// signal sends a signal to the present process, and returns a channel that is
+// closed when that has ended.
+func (n *node) signal(sig syscall.Signal) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err := n.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		fmt.Fprintln(os.Stderr, "mwscene: signal to node", n.index, ":", err)
+	}
+	return n.done
+}
+
+// life returns the life of the present process.
+func (n *node) life() mwcheck.Life {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return mwcheck.Life{Node: n.index, Start: n.starts}
+}
+
+func (n *node) entry() string { return n.front }
+
+// end ends the node for good.
+func (n *node) end() {
+	n.mu.Lock()
+	n.ended = true
+	running, b := n.cmd != nil, n.backend
+	n.mu.Unlock()
+	if b != nil {
+		b.crash()
+	}
+	if running {
+		n.signal(syscall.SIGCONT)
+		<-n.signal(syscall.SIGKILL)
+	}
+	for _, end := range n.ends {
+		end()
+	}
+}
+
+// backend is a node's backend server behind its proxy.
+type backend struct {
+	*mwstandin.Backend
+	crash func()
+}
+
+// Slots and heartbeats of a backend server.
+const (
+	slots      = 8
+	beatPeriod = 500 * time.Millisecond
+)
+
+// startBackend starts the node's backend server, under the instance's id or,
+// where that is empty, a new one.
+func (n *node) startBackend(instance string) error {
+	if instance == "" {
+		instance = "i-" + strings.TrimLeft(n.s.ids.next(), "0")
+	}
+	var proxy *mwproxy.Proxy
+	var endProxy func()
+	zone, _ := n.zone()
+	b, end, err := mwstandin.NewBackend(mwstandin.BackendConfig{
+		Service: n.service(), Instance: instance, Zone: zone, Control: n.ctl,
+		Slots: slots, Work: work, Beat: beatPeriod,
+		Advertise: func(real string) string {
+			if proxy == nil {
+				p, e, err := mwproxy.New(real)
+				if err != nil {
+					return real
+				}
+				proxy, endProxy = p, e
+			}
+			return proxy.Address()
+		},
+		Ran: func(r mwstandin.Run) {
+			n.s.check.Ran(mwid.RequestID(r.Request), r.Instance, !strings.HasPrefix(r.Path, orderPath), r.At)
+		},
+	})
+	if err != nil {
+		return err
+	}
+	var once sync.Once
+	x := &backend{Backend: b, crash: func() {
+		once.Do(func() {
+			end()
+			if endProxy != nil {
+				endProxy()
+			}
+		})
+	}}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.ended {
+		go x.crash()
+		return nil
+	}
+	n.backend = x
+	return nil
+}
+
+// replace lets the backend server leave, and a new one come.
+func (n *node) replace() {
+	n.mu.Lock()
+	b := n.backend
+	n.mu.Unlock()
+	ctx, cancel := context.WithTimeout(n.s.stop, leaveTimeout)
+	defer cancel()
+	if at, ok := b.Leave(ctx); ok {
+		n.s.check.Left(b.Instance(), at)
+	}
+	sleep(n.s.stop, servesOn)
+	b.Deregister(ctx)
+	b.crash()
+	n.restartBackend("")
+}
+
+// Times of a backend server that leaves.
+const (
+	leaveTimeout = 10 * time.Second
+	// servesOn is the platform's time to drain, and a little longer.
+	servesOn = 3500 * time.Millisecond
+)
+
+func (n *node) restartBackend(instance string) {
+	if err := n.startBackend(instance); err != nil {
+		fmt.Fprintln(os.Stderr, "mwscene: backend server of node", n.index, ":", err)
+	}
+}
+
+// crashBackend ends the backend server at once and starts it again, under the
+// id that it had where id is not empty.
+func (n *node) crashBackend(after time.Duration, id string) {
+	n.mu.Lock()
+	b := n.backend
+	n.mu.Unlock()
+	b.crash()
+	sleep(n.s.stop, after)
+	if id != "" {
+		id = b.Instance()
+	}
+	n.restartBackend(id)
+}
--- /dev/null
+++ b/mwsoak/internal/mwscene/scene.go
@@ -0,0 +1,263 @@
+// Package mwscene runs one plan of the soak: real nodes as processes of their
+// own, each behind proxies, a stand-in of the platform's store, backend
+// servers that announce themselves, callers and an operator.
+package mwscene
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"mustardwheel.example/mwlib/mwtimer"
+	"mustardwheel.example/mwsoak/internal/mwcheck"
+	"mustardwheel.example/mwsoak/internal/mwplan"
+	"mustardwheel.example/platform/mwstandin"
+)
+
+// Config is what Run takes.
+type Config struct {
+	Plan    mwplan.Plan
+	Program string // Program is the path of the node's program.
+	// Logs is the folder for the nodes' logs, empty for none.
+	Logs string
+	// Plant is a promise that is broken on purpose, empty for none.
+	Plant mwcheck.Promise
+	// Bounds are the times that promises are held to.
+	Bounds mwcheck.Bounds
+}
+
+// Report is what one run found.
+type Report struct {
+	Seed       mwplan.Seed
+	Counts     mwcheck.Counts
+	Broken     map[mwcheck.Promise]int
+	Violations []mwcheck.Violation // Violations are the first of each promise.
+	Took       time.Duration
+}
+
+// Scene is one running system. Its parts have locks of their own.
+type Scene struct {
+	cfg   Config
+	check *mwcheck.Checker
+	store *mwstandin.Store
+	at    string // at is the address of the store.
+	nodes []*node
+	stop  context.Context
+	ids   ids
+	// loaded tells that the load has begun.
+	loaded atomic.Bool
+
+	mu      sync.Mutex
+	fault   mwstandin.Fault // fault is what the store does to calls.
+	version int
+}
+
+const (
+	// host is the name that all routes have.
+	host = "shop.example"
+	// services are those of the nodes in turn.
+	serviceA = "katalog"
+	serviceB = "auftrag"
+)
+
+// Times of a run.
+const (
+	// startTimeout is the longest wait for a system that serves.
+	startTimeout = 30 * time.Second
+	// recoverAfter is how long after the last fault requests must be served.
+	recoverAfter = 15 * time.Second
+	// recoverFor is the time over which that is looked at.
+	recoverFor = 2 * time.Second
+	// recoverLeast is the part of the requests that must be served then.
+	recoverLeast = 0.9
+	// settle is the wait for work that was not over at the end.
+	settle = time.Second
+)
+
+// Run runs a plan and returns what it found. An error tells that the run
+// itself did not work.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	begin := time.Now()
+	s := &Scene{cfg: cfg, check: mwcheck.New(cfg.Bounds)}
+	var cancel func()
+	s.stop, cancel = context.WithCancel(ctx)
+	defer cancel()
+	s.store = mwstandin.NewStore(mwstandin.WithFault(s.storeFault))
+	srv := httptest.NewServer(s.store)
+	defer srv.Close()
+	defer srv.CloseClientConnections()
+	s.at = strings.TrimPrefix(srv.URL, "http://")
+	if err := s.configure(); err != nil {
+		return Report{}, err
+	}
+	defer s.endNodes()
+	if err := s.startNodes(); err != nil {
+		return Report{}, err
+	}
+	if err := s.play(); err != nil {
+		return Report{}, err
+	}
+	vs, broken, n := s.check.Result()
+	return Report{Seed: cfg.Plan.Seed, Counts: n, Broken: broken, Violations: vs, Took: time.Since(begin)}, nil
+}
+
+func (s *Scene) startNodes() error {
+	for i := range s.cfg.Plan.Nodes {
+		n, err := s.newNode(i)
+		if n != nil {
+			s.nodes = append(s.nodes, n)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	ctx, cancel := context.WithTimeout(s.stop, startTimeout)
+	defer cancel()
+	for good := 0; good < servedInARow; {
+		if ctx.Err() != nil {
+			return fmt.Errorf("mwscene: nothing is served %v after the start", startTimeout)
+		}
+		if good++; !s.allServe() {
+			good = 0
+			mwtimer.Sleep(ctx, 100*time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// servedInARow is how many rounds all nodes must serve before the load starts.
+const servedInARow = 3
+
+func (s *Scene) allServe() bool {
+	for _, n := range s.nodes {
+		for _, p := range []string{browsePath, orderPath} {
+			if !s.ask(n, p, false).Good() {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (s *Scene) endNodes() {
+	var wg sync.WaitGroup
+	for _, n := range s.nodes {
+		wg.Go(n.end)
+	}
+	wg.Wait()
+}
+
+// play runs the load, the operator and the faults, and looks at the recovery.
+func (s *Scene) play() error {
+	load, endLoad := context.WithCancel(s.stop)
+	defer endLoad()
+	s.loaded.Store(true)
+	var wg sync.WaitGroup
+	for _, n := range s.nodes {
+		for range callersPerNode {
+			wg.Go(func() { s.call(load, n) })
+		}
+		wg.Go(func() { s.probe(load, n) })
+	}
+	err := s.faults()
+	s.loaded.Store(false)
+	if err == nil {
+		s.recovery()
+	}
+	endLoad()
+	wg.Wait()
+	mwtimer.Sleep(s.stop, settle)
+	return err
+}
+
+// faults plays the events of the plan, which overlap, and waits for the end of
+// the last one.
+func (s *Scene) faults() error {
+	begin := time.Now()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for _, e := range s.cfg.Plan.Events {
+		mwtimer.Sleep(s.stop, time.Until(begin.Add(e.At)))
+		f, _, err := Faults.Make(nameOf(e.Kind), s)
+		if err != nil {
+			return err
+		}
+		wg.Go(func() {
+			if !f.Planned {
+				defer s.check.Fault()()
+			}
+			f.Do(e)
+		})
+	}
+	mwtimer.Sleep(s.stop, time.Until(begin.Add(s.cfg.Plan.Length)))
+	return nil
+}
+
+// recovery waits until requests are served again, for as long as that may
+// take, and looks whether they stay so.
+func (s *Scene) recovery() {
+	for over := time.Now().Add(recoverAfter); time.Now().Before(over) && !s.allServe(); {
+		mwtimer.Sleep(s.stop, 100*time.Millisecond)
+	}
+	good, asked := 0, 0
+	for over := time.Now().Add(recoverFor); time.Now().Before(over); {
+		for _, n := range s.nodes {
+			asked++
+			if s.ask(n, browsePath, false).Good() {
+				good++
+			}
+		}
+		mwtimer.Sleep(s.stop, 20*time.Millisecond)
+	}
+	s.check.Recovered(good, asked, recoverLeast)
+}
+
+// configure writes the next configuration. Each has one route of its own, and
+// none of the one before it.
+func (s *Scene) configure() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	route := func(name, prefix, service string, repeatable bool) mwstandin.Route {
+		return mwstandin.Route{
+			Name: name, Host: host, Prefix: prefix, Service: service,
+			Repeatable: repeatable, Timeout: routeTimeout, Attempts: 2,
+		}
+	}
+	text, err := mwstandin.Configuration(s.version, []mwstandin.Route{
+		route("browse", browsePath, serviceA, true),
+		route("order", orderPath, serviceB, false),
+		route("version", versionPath(s.version), serviceA, true),
+	}, []string{serviceA, serviceB})
+	if err != nil {
+		return err
+	}
+	s.store.Put("op", "config", text)
+	return nil
+}
+
+// storeFault returns what the store does to a call.
+func (s *Scene) storeFault(*http.Request) mwstandin.Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fault
+}
+
+// ids makes ids of requests.
+type ids struct {
+	mu sync.Mutex
+	n  int
+}
+
+func (i *ids) next() string {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.n++
+	return fmt.Sprintf("%016x", uint64(i.n)*0x9e3779b97f4a7c15+uint64(rand.Uint32())<<32)
+}
--- /dev/null
+++ b/mwsoak/main.go
@@ -0,0 +1,122 @@
+// Command mwsoak runs real nodes on this machine through seeded plans of
+// faults and holds them to their promises. It prints one JSON line for each
+// seed and ends with 1 where a promise was broken.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"golang.org/x/sync/errgroup"
+
+	"mustardwheel.example/mwsoak/internal/mwcheck"
+	"mustardwheel.example/mwsoak/internal/mwplan"
+	"mustardwheel.example/mwsoak/internal/mwscene"
+)
+
+// Exit codes.
+const (
+	exitOK     = 0
+	exitBroken = 1
+	exitFailed = 2
+)
+
+// settings are the flags of the program.
+type settings struct {
+	Program string          `long:"program" env:"MW_SOAK_PROGRAM" default:"target/mwnode" description:"program of the node"`
+	First   uint64          `long:"first" env:"MW_SOAK_FIRST" description:"first seed; the time of day where it is 0"`
+	Seeds   int             `long:"seeds" env:"MW_SOAK_SEEDS" default:"10" description:"number of seeds"`
+	Nodes   int             `long:"nodes" env:"MW_SOAK_NODES" default:"4" description:"nodes of a run, 2 to 200"`
+	Length  time.Duration   `long:"length" env:"MW_SOAK_LENGTH" default:"12s" description:"time with faults of a run, 4s at the least"`
+	Jobs    int             `long:"jobs" env:"MW_SOAK_JOBS" default:"2" description:"runs at the same time"`
+	Logs    string          `long:"logs" env:"MW_SOAK_LOGS" description:"folder for the nodes' logs; empty keeps none"`
+	Kinds   []mwplan.Kind   `long:"kind" env:"MW_SOAK_KINDS" env-delim:"," description:"kind of fault, may be given again; all where none is"`
+	Plant   mwcheck.Promise `long:"plant" env:"MW_SOAK_PLANT" description:"promise to break on purpose: Once, Refusal, Whole, Drain or Forward"`
+	Drain   time.Duration   `long:"drain" env:"MW_SOAK_DRAIN" default:"2500ms" description:"longest time for which a leaving backend server gets requests; 0 does not look at it"`
+	Contact time.Duration   `long:"contact" env:"MW_SOAK_CONTACT" default:"3s" description:"time without faults after which bounds in time hold"`
+}
+
+func (s *settings) check() error {
+	switch {
+	case s.Nodes < 2 || s.Nodes > 200:
+		return fmt.Errorf("--nodes=%d: expected 2 to 200", s.Nodes)
+	case s.Length < 4*time.Second:
+		return fmt.Errorf("--length=%v: expected at least 4s", s.Length)
+	case s.Seeds < 1 || s.Jobs < 1:
+		return errors.New("--seeds and --jobs: expected at least 1")
+	}
+	return nil
+}
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	var set settings
+	if _, err := flags.Parse(&set); err != nil {
+		if flags.WroteHelp(err) {
+			return exitOK
+		}
+		return exitFailed
+	}
+	if err := set.check(); err != nil {
+		fmt.Fprintln(os.Stderr, "mwsoak:", err)
+		return exitFailed
+	}
+	if set.First == 0 {
+		set.First = uint64(time.Now().Unix())
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	broken, err := soak(ctx, set)
+	switch {
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "mwsoak:", err)
+		return exitFailed
+	case broken > 0:
+		return exitBroken
+	}
+	return exitOK
+}
+
+// soak runs all seeds and returns how many of them broke a promise.
+func soak(ctx context.Context, set settings) (int, error) {
+	kinds := set.Kinds
+	if len(kinds) == 0 {
+		kinds = mwscene.Kinds()
+	}
+	var mu sync.Mutex
+	broken, out := 0, json.NewEncoder(os.Stdout)
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(set.Jobs)
+	for i := range set.Seeds {
+		g.Go(func() error {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			r, err := mwscene.Run(ctx, mwscene.Config{
+				Plan:    mwplan.New(mwplan.Seed(set.First+uint64(i)), kinds, set.Nodes, mwscene.Ways, set.Length),
+				Program: set.Program, Logs: set.Logs, Plant: set.Plant,
+				Bounds: mwcheck.Bounds{Drain: set.Drain, Contact: set.Contact},
+			})
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", set.First+uint64(i), err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if len(r.Violations) > 0 {
+				broken++
+			}
+			return out.Encode(r)
+		})
+	}
+	err := g.Wait()
+	return broken, err
+}
--- /dev/null
+++ b/mwsoak/main_test.go
@@ -0,0 +1,89 @@
+package main_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// build builds the programs and returns their folder.
+func build(c *qt.C) string {
+	dir := c.TempDir()
+	for _, p := range []string{"mwnode", "mwsoak"} {
+		out, err := exec.Command("go", "build", "-o", dir+"/", "mustardwheel.example/"+p).CombinedOutput()
+		c.Assert(err, qt.IsNil, qt.Commentf("%s", out))
+	}
+	return dir
+}
+
+// report is a line of the program.
+type report struct {
+	Seed       uint64
+	Counts     struct{ Asked, Good, Ran, Versions int }
+	Broken     map[string]int
+	Violations []struct{ Promise, Subject, Detail string }
+}
+
+// soak runs the program and returns its lines and its exit code.
+func soak(c *qt.C, dir string, args ...string) ([]report, int) {
+	logs := c.TempDir()
+	args = append([]string{"--program", filepath.Join(dir, "mwnode"), "--logs", logs}, args...)
+	cmd := exec.Command(filepath.Join(dir, "mwsoak"), args...)
+	cmd.Stderr = os.Stderr
+	out, err := cmd.Output()
+	if _, ok := err.(*exec.ExitError); err != nil && !ok {
+		c.Fatal(err)
+	}
+	var rs []report
+	for sc := bufio.NewScanner(bytes.NewReader(out)); sc.Scan(); {
+		var r report
+		c.Assert(json.Unmarshal(sc.Bytes(), &r), qt.IsNil, qt.Commentf("%s", sc.Text()))
+		rs = append(rs, r)
+	}
+	return rs, cmd.ProcessState.ExitCode()
+}
+
+// TestShortSoak runs two seeds. Bounds in time are for runs by hand, as a busy
+// machine must not decide; the promises that hold at any speed count here.
+func TestShortSoak(t *testing.T) {
+	c := qt.New(t)
+	rs, code := soak(c, build(c), "--first", "1", "--seeds", "2", "--length", "6s", "--drain", "0")
+	c.Check(code, qt.Equals, 0)
+	c.Assert(rs, qt.HasLen, 2)
+	for _, r := range rs {
+		c.Check(r.Violations, qt.HasLen, 0, qt.Commentf("seed %d", r.Seed))
+		c.Check(r.Counts.Good > 0 && r.Counts.Versions > 0, qt.IsTrue, qt.Commentf("seed %d: %+v", r.Seed, r.Counts))
+	}
+}
+
+// TestSoakFindsWhatIsPlanted breaks each promise on purpose.
+func TestSoakFindsWhatIsPlanted(t *testing.T) {
+	c := qt.New(t)
+	dir := build(c)
+	for _, promise := range []string{"Once", "Refusal", "Whole", "Drain", "Forward"} {
+		t.Run(promise, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			rs, code := soak(c, dir, "--first", "1", "--seeds", "1", "--length", "8s", "--nodes", "4",
+				"--kind", "config", "--kind", "backend-leave", "--plant", promise)
+			c.Check(code, qt.Equals, 1)
+			c.Assert(rs, qt.HasLen, 1)
+			c.Check(rs[0].Broken[promise] > 0, qt.IsTrue, qt.Commentf("found %v", rs[0].Broken))
+		})
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	c := qt.New(t)
+	dir := build(c)
+	for _, args := range [][]string{{"--nodes", "1"}, {"--length", "1s"}, {"--seeds", "0"}, {"--nodes", "many"}} {
+		_, code := soak(c, dir, args...)
+		c.Check(code, qt.Equals, 2, qt.Commentf("%v", args))
+	}
+}
