mwctl: trace follows one request through the logs of many nodes

mwnode: the heap grows by 150% between collections in place of 50%, and less near 0.55 of the memory that the settings name.

--- a/mwctl/ctl_test.go
+++ b/mwctl/ctl_test.go
@@ -156,3 +156,21 @@
 	out, _ = ctl(address(srv), "history")
 	c.Assert(strings.Count(out, "\n"), qt.Equals, 2, qt.Commentf("%s", out))
 }
+
+// TestTrace follows requests of a played day through the lines of its nodes.
+func TestTrace(t *testing.T) {
+	c := qt.New(t)
+	addr := store(c)
+	var b strings.Builder
+	for _, args := range [][]string{
+		{"trace", "9b411559d08816a9", "testdata/trace.log"},
+		{"trace", "9b411559d08816a9.6384bb019f59f889.5dc27d7674d735e2", "testdata/trace.log"},
+		{"trace", "0000000000000000", "testdata/trace.log"},
+		{"trace", "9b411559d08816a9", "testdata/none.log"},
+		{"trace"},
+	} {
+		out, code := ctl(addr, args...)
+		fmt.Fprintf(&b, "$ mwctl %s\n%s# exit code %d\n\n", strings.Join(args, " "), out, code)
+	}
+	golden(c, b.String())
+}
--- a/mwctl/main.go
+++ b/mwctl/main.go
@@ -59,6 +59,7 @@
 		{"status", "show what is in force where", "Show the version in force in each availability zone, and who can't be heard.", &status{}},
 		{"targets", "list targets", "List the targets that a node knows.", &targets{}},
 		{"explain", "explain a decision", "Show which selectors match a call and whether it would be admitted.", &explain{}},
+		{"trace", "follow a request through logs", "Print the log lines of all nodes about a request in order, with the one that tells the cause.", &trace{}},
 		{"drain", "drain nodes", "Let nodes finish their calls and end.", &drain{}},
 	}
 }
--- /dev/null
+++ b/mwctl/trace.go
@@ -0,0 +1,200 @@
+package main
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcode"
+)
+
+// trace is the verb that follows one request through the log lines of many
+// nodes.
+type trace struct {
+	Args struct {
+		ID    string   `positional-arg-name:"ID" required:"yes" description:"id of the request, or of one of its calls"`
+		Files []string `positional-arg-name:"FILE" description:"logs of nodes; standard input where there is none"`
+	} `positional-args:"yes"`
+}
+
+// traced is one log line about a request.
+type traced struct {
+	Time time.Time
+	// From tells which node wrote the line: what stands before its JSON, as
+	// collectors of logs add it, or else the file.
+	From     string
+	Message  string
+	ID       string
+	Service  string
+	Code     mwcode.Code
+	Reason   string
+	Left     time.Duration
+	Attempts []tracedAttempt
+	Line     json.RawMessage // Line is the whole line.
+}
+
+// tracedAttempt is one attempt of a call.
+type tracedAttempt struct {
+	Node   string
+	Code   mwcode.Code
+	Failed bool
+	Took   time.Duration
+}
+
+// traceResult is what the verb prints.
+type traceResult struct {
+	Lines []traced
+	// Cause is the index of the line that tells why the request was not
+	// answered well, -1 where none does.
+	Cause int
+}
+
+// maxLine is the longest log line in bytes: one with dozens of attempts.
+const maxLine = 1 << 20
+
+func (v *trace) run(e *env) error {
+	var r traceResult
+	err := v.each(func(name string, in io.Reader) error {
+		ls, err := readTrace(name, in, v.Args.ID)
+		r.Lines = append(r.Lines, ls...)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	if len(r.Lines) == 0 {
+		return mwcode.New(mwcode.NotFound, mwcode.Field(v.Args.ID),
+			mwcode.Expected("the id of a request in a log line; requests that simply succeed are logged with --debug alone"))
+	}
+	slices.SortStableFunc(r.Lines, func(a, b traced) int { return a.Time.Compare(b.Time) })
+	r.Cause = causeOf(r.Lines)
+	return r.print(e)
+}
+
+// each calls f with each of the inputs.
+func (v *trace) each(f func(name string, in io.Reader) error) error {
+	if len(v.Args.Files) == 0 {
+		return f("", os.Stdin)
+	}
+	for _, name := range v.Args.Files {
+		in, err := os.Open(name)
+		if err != nil {
+			return mwcode.New(mwcode.BadCommand, mwcode.File(name), mwcode.Wrap(err))
+		}
+		err = f(filepath.Base(name), in)
+		in.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readTrace returns the lines of in about the request id.
+func readTrace(name string, in io.Reader, id string) ([]traced, error) {
+	var ls []traced
+	sc := bufio.NewScanner(in)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		l, ok := parseTrace(sc.Text(), id)
+		if !ok {
+			continue
+		}
+		if l.From == "" {
+			l.From = name
+		}
+		ls = append(ls, l)
+	}
+	if err := sc.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return nil, mwcode.New(mwcode.BadCommand, mwcode.File(name), mwcode.Wrap(err))
+	}
+	return ls, nil
+}
+
+// parseTrace returns a log line; ok is false where it is of another request or
+// no log line at all.
+func parseTrace(text, id string) (l traced, ok bool) {
+	before, rest, ok := strings.Cut(text, "{")
+	if !ok || !strings.Contains(rest, id) {
+		return traced{}, false
+	}
+	var j struct {
+		Time     time.Time `json:"time"`
+		Msg      string    `json:"msg"`
+		ID, Root string
+		Service  string
+		Code     mwcode.Code
+		Reason   string
+		Left     time.Duration
+		Attempts []tracedAttempt
+	}
+	rest = "{" + rest
+	if err := json.Unmarshal([]byte(rest), &j); err != nil {
+		return traced{}, false // The line of another program.
+	}
+	if j.ID != id && j.Root != id && !strings.HasPrefix(j.ID, id+".") {
+		return traced{}, false
+	}
+	return traced{
+		Time: j.Time, From: strings.Join(strings.Fields(before), " "), Message: j.Msg, ID: j.ID, Service: j.Service,
+		Code: j.Code, Reason: j.Reason, Left: j.Left, Attempts: j.Attempts, Line: json.RawMessage(rest),
+	}, true
+}
+
+// causeOf returns the index of the first line of the deepest call that was not
+// answered well: what failed above it failed for that.
+func causeOf(ls []traced) int {
+	cause := -1
+	for i, l := range ls {
+		if !l.bad() {
+			continue
+		}
+		if cause < 0 || l.depth() > ls[cause].depth() {
+			cause = i
+		}
+	}
+	return cause
+}
+
+// bad tells whether the line is of a call that was not answered well.
+func (l traced) bad() bool {
+	return l.Code != mwcode.OK || len(l.Attempts) > 0 && l.Attempts[len(l.Attempts)-1].Failed
+}
+
+// depth returns how many calls are above this one, as far as ids tell.
+func (l traced) depth() int { return strings.Count(l.ID, ".") }
+
+func (r traceResult) print(e *env) error {
+	t := &table{head: []string{"AFTER", "FROM", "ID", "SERVICE", "MESSAGE", "REASON", "LEFT", "ATTEMPTS", ""}}
+	for i, l := range r.Lines {
+		mark := ""
+		if i == r.Cause {
+			mark = "<- cause"
+		}
+		t.add(l.Time.Sub(r.Lines[0].Time).Round(100*time.Microsecond), l.From, l.ID, l.Service, l.Message,
+			l.Reason, l.Left.Round(time.Millisecond), attempts(l.Attempts), mark)
+	}
+	return e.print(r, t)
+}
+
+// attempts writes attempts in one cell.
+func attempts(as []tracedAttempt) string {
+	var cells []string
+	for _, a := range as {
+		how := a.Code.String()
+		if a.Failed {
+			how = "Failed"
+		}
+		node, _, _ := strings.Cut(a.Node, "#")
+		cells = append(cells, fmt.Sprintf("%s %s %v", node, how, a.Took.Round(time.Millisecond)))
+	}
+	return cmp.Or(strings.Join(cells, ", "), "-")
+}
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -63,6 +63,7 @@
 	var c checker
 	c.must(n.Place.Zone != "", "zone", "the name of an availability zone")
 	c.must(n.Place.Region != "", "region", "the name of a region")
+	c.must(n.Place.Memory >= 0, "memory", "at least 0")
 	c.listen(n.Listen)
 	c.store(n.Store)
 	c.member(n.Member)
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -24,12 +24,14 @@
 	Relay   Relay   `group:"Relay" namespace:"relay" env-namespace:"MW_RELAY"`
 }
 
-// Place tells where the node stands.
+// Place tells where the node stands and what it has there.
 type Place struct {
 	Zone   mwid.ZoneName   `long:"zone" env:"ZONE" description:"availability zone of this VM" required:"true"`
 	Region mwid.RegionName `long:"region" env:"REGION" description:"region of the availability zone" required:"true"`
 
 	Service mwid.ServiceName `long:"service" env:"SERVICE" description:"service of this VM's backend server, where it is known; other announcements are refused then"`
+
+	Memory mwunit.Bytes `long:"memory" env:"MEMORY" description:"memory that the process may use, MB; 0 where nothing bounds it"`
 }
 
 // Listen holds the addresses of the listeners, "IP:port" each.
--- a/mwlib/mwunit/unit.go
+++ b/mwlib/mwunit/unit.go
@@ -11,6 +11,9 @@
 // Bytes counts bytes.
 type Bytes int64
 
+// MB is a megabyte.
+const MB Bytes = 1 << 20
+
 // Attempts counts attempts beyond the first: retries and hedges.
 type Attempts int
 
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -22,6 +22,7 @@
 	"mustardwheel.example/mwlib/mwhost"
 	"mustardwheel.example/mwlib/mwlog"
 	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
 	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
 	_ "mustardwheel.example/platform"         // Registers the adapter to the users' platform.
 )
@@ -33,9 +34,25 @@
 	exitSettings = 2
 )
 
-// gcPercent is by how much the heap may grow between two collections: the
-// live heap is a few megabytes, and VMs are billed for peaks of memory.
-const gcPercent = 50
+// Bounds of the heap.
+const (
+	// gcPercent is by how much the heap may grow between two collections. The
+	// live heap is a few megabytes: at 50, collections take a quarter of the
+	// processor time of a call (BenchmarkCall).
+	gcPercent = 150
+	// memoryShare is the part of the memory of a process from which on
+	// collections get more frequent; the rest is for buffers of the kernel and
+	// for peaks between two collections.
+	memoryShare = 0.55
+)
+
+// boundHeap sets when the heap is collected; memory is that of the process,
+// 0 where it is not known.
+func boundHeap(memory mwunit.Bytes) {
+	if memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	}
+}
 
 // arguments are the settings with those that only this program has.
 type arguments struct {
@@ -102,6 +119,7 @@
 	if a.Debug {
 		level = slog.LevelDebug
 	}
+	boundHeap(a.Place.Memory * mwunit.MB)
 	w, endLog := mwlog.New(os.Stdout)
 	defer endLog()
 	log := mwlog.NewLogger(w, level)
