--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -22,9 +22,9 @@
 	"mustardwheel.example/mwlib/mwhost"
 	"mustardwheel.example/mwlib/mwlog"
 	"mustardwheel.example/mwlib/mwsetting"
-	"mustardwheel.example/mwlib/mwunit"
 	_ "mustardwheel.example/mwlib/mwstandard" // Registers the plug-ins.
-	_ "mustardwheel.example/platform"         // Registers the adapter to the users' platform.
+	"mustardwheel.example/mwlib/mwunit"
+	_ "mustardwheel.example/platform" // Registers the adapter to the users' platform.
 )
 
 // Exit codes.
