--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -36,10 +36,9 @@
 
 // Bounds of the heap.
 const (
-	// gcPercent is by how much the heap may grow between two collections. The
-	// live heap is a few megabytes: at 50, collections take a quarter of the
-	// processor time of a call (BenchmarkCall).
-	gcPercent = 150
+	// gcPercent is by how much the heap may grow between two collections: the
+	// live heap is a few megabytes, and VMs are billed for peaks of memory.
+	gcPercent = 50
 	// memoryShare is the part of the memory of a process from which on
 	// collections get more frequent; the rest is for buffers of the kernel and
 	// for peaks between two collections.
