--- a/mwlib/mwkernel/path_test.go
+++ b/mwlib/mwkernel/path_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"slices"
 	"sync/atomic"
 	"testing"
@@ -119,6 +120,25 @@
 	}
 }
 
+// A call runs at no more targets than its route allows, whatever the budget.
+func TestMostTargetsOfACall(t *testing.T) {
+	for most := mwunit.Attempts(1); most <= 3; most++ {
+		t.Run(fmt.Sprint(most), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				w := newWorld(c, replies(slices.Repeat([]reply{lost, failed}, 4)...))
+				w.class.Retries, w.class.Repeatable, w.class.MaxTargets = 8, true, most
+				use := func(s *mwsetting.Node) { s.Plugins.Retry = "chain" }
+				for range 4 {
+					w.add("s", use)
+				}
+				w.add("", use).call(context.Background(), mwcall.Call{Service: "s"})
+				c.Check(w.delivered.Load(), qt.Equals, int64(most))
+			})
+		})
+	}
+}
+
 // Targets that decline all calls get a bounded number of attempts, whatever
 // the budget.
 func TestFullServiceGetsFewAttempts(t *testing.T) {
