--- a/mwsoak/internal/mwscene/node.go
+++ b/mwsoak/internal/mwscene/node.go
@@ -230,6 +230,9 @@
 // backend is a node's backend server behind its proxy.
 type backend struct {
 	*mwstandin.Backend
+	// life names this start: a backend server that starts again under its id
+	// knows nothing of before.
+	life  string
 	crash func()
 }
 
@@ -247,6 +250,7 @@
 	}
 	var proxy *mwproxy.Proxy
 	var endProxy func()
+	life := instance + "/" + n.s.ids.next()
 	zone, _ := n.zone()
 	b, end, err := mwstandin.NewBackend(mwstandin.BackendConfig{
 		Service: n.service(), Instance: instance, Zone: zone, Control: n.ctl,
@@ -262,14 +266,14 @@
 			return proxy.Address()
 		},
 		Ran: func(r mwstandin.Run) {
-			n.s.check.Ran(mwid.RequestID(r.Request), r.Instance, !strings.HasPrefix(r.Path, orderPath), r.At)
+			n.s.check.Ran(mwid.RequestID(r.Request), life, !strings.HasPrefix(r.Path, orderPath), r.At)
 		},
 	})
 	if err != nil {
 		return err
 	}
 	var once sync.Once
-	x := &backend{Backend: b, crash: func() {
+	x := &backend{Backend: b, life: life, crash: func() {
 		once.Do(func() {
 			end()
 			if endProxy != nil {
@@ -295,7 +299,7 @@
 	ctx, cancel := context.WithTimeout(n.s.stop, leaveTimeout)
 	defer cancel()
 	if at, ok := b.Leave(ctx); ok {
-		n.s.check.Left(b.Instance(), at)
+		n.s.check.Left(b.life, at)
 	}
 	sleep(n.s.stop, servesOn)
 	b.Deregister(ctx)
--- a/mwsoak/internal/mwscene/scene.go
+++ b/mwsoak/internal/mwscene/scene.go
@@ -74,6 +74,10 @@
 	recoverAfter = 15 * time.Second
 	// recoverFor is the time over which that is looked at.
 	recoverFor = 2 * time.Second
+	// lookPause is the time between two rounds of requests then, and stall how
+	// late a timer may be before the machine counts as stalled.
+	lookPause = 20 * time.Millisecond
+	stall     = 300 * time.Millisecond
 	// recoverLeast is the part of the requests that must be served then.
 	recoverLeast = 0.9
 	// settle is the wait for work that was not over at the end.
@@ -205,7 +209,20 @@
 	for over := time.Now().Add(recoverAfter); time.Now().Before(over) && !s.allServe(); {
 		mwtimer.Sleep(s.stop, 100*time.Millisecond)
 	}
-	good, asked := 0, 0
+	for over := time.Now().Add(recoverAfter); ; {
+		good, asked, stalled := s.look()
+		if stalled && time.Now().Before(over) {
+			continue
+		}
+		s.check.Recovered(good, asked, recoverLeast)
+		return
+	}
+}
+
+// look asks all nodes for some time and returns how many answers were good.
+// Stalled tells that this process did not get the processor meanwhile, so that
+// nodes may not have got it either and the look says nothing.
+func (s *Scene) look() (good, asked int, stalled bool) {
 	for over := time.Now().Add(recoverFor); time.Now().Before(over); {
 		for _, n := range s.nodes {
 			asked++
@@ -213,9 +230,11 @@
 				good++
 			}
 		}
-		mwtimer.Sleep(s.stop, 20*time.Millisecond)
+		begin := time.Now()
+		mwtimer.Sleep(s.stop, lookPause)
+		stalled = stalled || time.Since(begin) > lookPause+stall
 	}
-	s.check.Recovered(good, asked, recoverLeast)
+	return good, asked, stalled
 }
 
 // configure writes the next configuration. Each has one route of its own, and
