--- a/mwsoak/internal/mwscene/scene.go
+++ b/mwsoak/internal/mwscene/scene.go
@@ -249,16 +249,11 @@
 			Repeatable: repeatable, Timeout: routeTimeout, Attempts: 2,
 		}
 	}
-	text, err := mwstandin.Configuration(s.version, []mwstandin.Route{
+	return s.store.Configure(s.version, []mwstandin.Route{
 		route("browse", browsePath, serviceA, true),
 		route("order", orderPath, serviceB, false),
 		route("version", versionPath(s.version), serviceA, true),
 	}, []string{serviceA, serviceB})
-	if err != nil {
-		return err
-	}
-	s.store.Put("op", "config", text)
-	return nil
 }
 
 // storeFault returns what the store does to a call.
