--- a/mwsoak/internal/mwscene/node.go
+++ b/mwsoak/internal/mwscene/node.go
@@ -37,7 +37,6 @@
 	ports [5]string // Addresses of entry, peer, admin, control and ready.
 	ways  [Ways]*mwproxy.Proxy
 	front string // front is where callers and plants reach the node.
-	ctl   string // ctl is where announcements reach it.
 	ends  []func()
 	log   *os.File
 
@@ -72,7 +71,7 @@
 		n.ways[i] = p
 		n.ends = append(n.ends, end)
 	}
-	n.front, n.ctl = n.ways[wayEntry].Address(), n.ways[wayControl].Address()
+	n.front = n.ways[wayEntry].Address()
 	if err := n.plant(); err != nil {
 		return n, err
 	}
@@ -253,7 +252,7 @@
 	life := instance + "/" + n.s.ids.next()
 	zone, _ := n.zone()
 	b, end, err := mwstandin.NewBackend(mwstandin.BackendConfig{
-		Service: n.service(), Instance: instance, Zone: zone, Control: n.ctl,
+		Service: n.service(), Instance: instance, Zone: zone, Control: n.ways[wayControl].Address(),
 		Slots: slots, Work: work, Beat: beatPeriod,
 		Advertise: func(real string) string {
 			if proxy == nil {
@@ -298,7 +297,9 @@
 	n.mu.Unlock()
 	ctx, cancel := context.WithTimeout(n.s.stop, leaveTimeout)
 	defer cancel()
-	if at, ok := b.Leave(ctx); ok {
+	if n.s.cfg.Plant == mwcheck.Drain {
+		n.s.check.Left(b.life, time.Now())
+	} else if at, ok := b.Leave(ctx); ok {
 		n.s.check.Left(b.life, at)
 	}
 	sleep(n.s.stop, servesOn)
--- a/mwsoak/internal/mwscene/plant.go
+++ b/mwsoak/internal/mwscene/plant.go
@@ -13,10 +13,10 @@
 )
 
 // plant puts a relay before the node that breaks the promise that the run is
-// to break, so that a soak which misses it shows.
+// to break, so that a soak which misses it shows. Drain needs no relay: the
+// node is not told that its backend server leaves.
 func (n *node) plant() error {
 	var h http.Handler
-	to := &n.front
 	r := &relay{to: n.front, client: newClient(), idle: func() bool { return !n.s.loaded.Load() }}
 	switch n.s.cfg.Plant {
 	case mwcheck.Once:
@@ -27,13 +27,11 @@
 		h = http.HandlerFunc(r.spoil)
 	case mwcheck.Forward:
 		h = http.HandlerFunc(r.goBack)
-	case mwcheck.Drain:
-		to, r.to, h = &n.ctl, n.ctl, http.HandlerFunc(r.keep)
 	default:
 		return nil
 	}
 	srv := httptest.NewServer(h)
-	*to = strings.TrimPrefix(srv.URL, "http://")
+	n.front = strings.TrimPrefix(srv.URL, "http://")
 	n.ends = append(n.ends, func() {
 		srv.CloseClientConnections()
 		srv.Close()
@@ -94,7 +92,7 @@
 
 // twice sends each order a second time.
 func (x *relay) twice(w http.ResponseWriter, r *http.Request) {
-	if r.Method == http.MethodPost {
+	if r.Method == http.MethodPost && !x.idle() {
 		if _, _, err := x.send(r, r.URL.Path, nil); err != nil {
 			panic(http.ErrAbortHandler)
 		}
@@ -102,10 +100,10 @@
 	x.pass(w, r, r.URL.Path, same)
 }
 
-// lie says of orders that failed or were answered that they have not run.
+// lie says of orders that they have not run.
 func (x *relay) lie(w http.ResponseWriter, r *http.Request) {
 	x.pass(w, r, r.URL.Path, func(status int, b []byte) (int, []byte) {
-		if r.Method == http.MethodPost && len(b)%2 == 0 {
+		if r.Method == http.MethodPost {
 			return http.StatusServiceUnavailable, nil
 		}
 		return status, b
@@ -140,16 +138,3 @@
 		return status, b
 	})
 }
-
-// keep acknowledges that a backend server leaves and does not tell the node.
-func (x *relay) keep(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	if bytes.Contains(body, []byte("draining")) {
-		body = bytes.Replace(body, []byte("draining"), []byte("ready"), 1)
-	}
-	r.Body = io.NopCloser(bytes.NewReader(body))
-	x.pass(w, r, r.URL.Path, same)
-}
