--- a/mwlib/mwbudget/window.go
+++ b/mwlib/mwbudget/window.go
@@ -10,10 +10,10 @@
 // Windows bounds repetitions by the first tries of the last span of time: in
 // any span, there are at most ratio times as many repetitions as first tries
 // in that span, in the one before it or in the one half a span before it,
-// whichever has most, and a slack beside. A service that fails as a whole for some seconds so has the
-// repetitions of its calm time to draw on, which a bucket filled by successes
-// does not give. They are spread over the span: the last fifth of it may have
-// half more than its part.
+// whichever has most, and a slack beside. A service that fails as a whole for
+// some seconds so has the repetitions of its calm time to draw on, which a
+// bucket filled by successes does not give. They are spread over the span: the
+// last fifth of it may have half more than its part.
 type Windows[K comparable] struct {
 	ratio mwunit.Ratio
 	slack mwunit.Attempts
