--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -106,7 +106,9 @@
 	}
 	// The body of r itself stays in place: net/http's server looks at its
 	// type to see whether the sender still waits to be asked for it.
-	in := &patient{http.NewResponseController(w), r.Body, f.idle, f.limits(o).BodyBytes, 0}
+	in := &patient{
+		rc: http.NewResponseController(w), body: r.Body, idle: f.idle, most: f.limits(o).BodyBytes,
+	}
 	b, err := newBody(in, r.ContentLength, f.buffer)
 	if err != nil {
 		if mwcode.Of(err) != mwcode.BodyTooLarge {
--- a/mwnode/main.go
+++ b/mwnode/main.go
@@ -48,6 +48,7 @@
 // boundHeap sets when the heap is collected; memory is that of the process,
 // 0 where it is not known.
 func boundHeap(memory mwunit.Bytes) {
+	debug.SetGCPercent(gcPercent)
 	if memory > 0 {
 		debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
 	}
@@ -131,7 +132,6 @@
 	log.Info("started", "Node", h.Kernel().Self().Node, "Entry", h.Entry(), "Local", h.Local(),
 		"Peer", h.Peer(), "Admin", h.Admin(), "Version", mwbuild.String())
 	defer watchSettings(log, fromFile)()
-	debug.SetGCPercent(gcPercent)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	select {
