--- a/mwlib/mwclaim/group.go
+++ b/mwlib/mwclaim/group.go
@@ -72,6 +72,7 @@
 	peers   mwkernel.Peers
 	known   func() []mwid.Address
 	writers int
+	wait    time.Duration // wait bounds the wait for a writer.
 }
 
 // Times of a group.
@@ -80,8 +81,8 @@
 	pickPeriod = time.Second
 	// avoidPeriod is how long a silent writer is left alone.
 	avoidPeriod = 5 * time.Second
-	// mostGroupWait bounds the wait for a writer.
-	mostGroupWait = 2 * time.Second
+	// DefaultGroupWait bounds the wait for a writer.
+	DefaultGroupWait = 2 * time.Second
 	// replyParts is the part of its wait, one of replyParts, that a node
 	// leaves to the writer's reply.
 	replyParts = 5
@@ -90,9 +91,14 @@
 // WithGroup lets rows be written by n of the nodes in known, which is this
 // node's choice of peers without itself; self is its own address.
 func WithGroup(p mwkernel.Peers, self mwid.Address, known func() []mwid.Address, n int) Option {
-	return func(o *options) { o.group = groupOptions{self: self, peers: p, known: known, writers: n} }
+	return func(o *options) {
+		o.group = groupOptions{self: self, peers: p, known: known, writers: n, wait: DefaultGroupWait}
+	}
 }
 
+// WithGroupWait bounds the wait for a writer; it goes after WithGroup.
+func WithGroupWait(d time.Duration) Option { return func(o *options) { o.group.wait = d } }
+
 // newGroup makes l serve and use a group.
 func newGroup(l *Ledger, o groupOptions) (*group, error) {
 	if err := o.peers.Handle(serviceName, &GroupService{l}); err != nil {
@@ -127,7 +133,7 @@
 
 // ask lets w write p.
 func (g *group) ask(ctx context.Context, w mwid.Address, p Put) (mwid.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, mostGroupWait)
+	ctx, cancel := context.WithTimeout(ctx, g.o.wait)
 	defer cancel()
 	d, _ := ctx.Deadline()
 	wait := time.Until(d)
--- a/mwlib/mwfakeserver/announce.go
+++ b/mwlib/mwfakeserver/announce.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -25,6 +26,9 @@
 	announcePath    = "/mw/announce"
 	announceTimeout = time.Second
 	renewalsPerTTL  = 3
+	// firstTries is how often a node that does not answer is asked at the
+	// start: on a busy machine it may take many times as long.
+	firstTries = 30
 )
 
 // announcement is what a backend server tells its node.
@@ -53,6 +57,17 @@
 	return n.do(ctx, http.MethodPut, "", b)
 }
 
+// first announces a at the start.
+func (n *announcer) first(ctx context.Context, a announcement) error {
+	var err error
+	for range firstTries {
+		if err = n.put(ctx, a); !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
+	}
+	return err
+}
+
 // withdraw takes back the announcement of s.
 func (n *announcer) withdraw(ctx context.Context, s mwid.ServiceName) error {
 	return n.do(ctx, http.MethodDelete, "?Service="+url.QueryEscape(string(s)), nil)
--- a/mwlib/mwfakeserver/server.go
+++ b/mwlib/mwfakeserver/server.go
@@ -41,7 +41,7 @@
 		announcer: announcer{client: b.client, node: node},
 	}
 	end := srv.start(l, endBackend)
-	if err := srv.announcer.put(context.Background(), srv.announcement()); err != nil {
+	if err := srv.announcer.first(context.Background(), srv.announcement()); err != nil {
 		end()
 		return nil, nil, fmt.Errorf("backend server %s: %w", s, err)
 	}
