--- a/mwlib/mwretry/retry_test.go
+++ b/mwlib/mwretry/retry_test.go
@@ -23,7 +23,7 @@
 func policy(c *qt.C, name mwregistry.Name, hedge bool) mwkernel.RetryPolicy {
 	set := &mwsetting.Node{Retry: mwsetting.Retry{
 		TokenRatio: 0.1, TokenReserve: reserve, CallerReserve: reserve, Hedge: hedge,
-		Chain: 8, Window: 10 * time.Second, WindowRatio: 0.2,
+		Chain: 8, Window: 10 * time.Second, WindowRatio: 0.2, WindowShare: 1,
 	}}
 	p, end, err := mwkernel.RetryPolicies.Make(name, mwkernel.Env{Settings: set, Metrics: metrics.NewSet()})
 	c.Assert(err, qt.IsNil)
--- a/mwlib/mwretry/window.go
+++ b/mwlib/mwretry/window.go
@@ -80,7 +80,7 @@
 	set := env.Settings.Retry
 	return &Window{
 		chain:   set.Chain,
-		windows: mwbudget.NewWindows[windowKey](set.Window, set.WindowRatio, set.TokenReserve),
+		windows: mwbudget.NewWindows[windowKey](set.Window, set.WindowShare*set.WindowRatio, set.TokenReserve),
 		ranks:   mwshard.New[mwid.ServiceName, rank](mwshard.DefaultShards),
 		denied:  env.Metrics.GetOrCreateCounter("mw_retry_no_token_total"),
 	}, nil, nil
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -119,6 +119,7 @@
 func (c *checker) retry(r Retry) {
 	c.ratio(r.TokenRatio, "retry.token-ratio")
 	c.ratio(r.WindowRatio, "retry.window-ratio")
+	c.ratio(r.WindowShare, "retry.window-share")
 	c.positive(r.Window, "retry.window")
 	c.must(r.Chain >= 0 && r.Chain <= maxChain, "retry.chain", "0 to 100")
 	c.must(r.TokenReserve >= 0, "retry.token-reserve", "at least 0")
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -113,7 +113,8 @@
 	CallerReserve mwunit.Attempts `long:"caller-reserve" env:"CALLER_RESERVE" default:"10" description:"most resubmissions that each caller's first calls can save up, calls"`
 	Chain         mwunit.Attempts `long:"chain" env:"CHAIN" default:"8" description:"retries of a whole request, for all calls below it, where the policy is window"`
 	Window        time.Duration   `long:"window" env:"WINDOW" default:"10s" description:"span over which the policy window counts"`
-	WindowRatio   mwunit.Ratio    `long:"window-ratio" env:"WINDOW_RATIO" default:"0.2" description:"repetitions in a span as a part of the first tries, where the policy is window"`
+	WindowRatio   mwunit.Ratio    `long:"window-ratio" env:"WINDOW_RATIO" default:"0.2" description:"repetitions in a span that all nodes together may make, as a part of the first tries, where the policy is window"`
+	WindowShare   mwunit.Ratio    `long:"window-share" env:"WINDOW_SHARE" default:"0.6" description:"part of --retry.window-ratio that each node keeps to: it counts from its own best span, which differ from node to node, 0 to 1"`
 	Hedge         bool            `long:"hedge" env:"HEDGE" description:"hedge short repeatable calls"`
 }
 
--- a/mwsoak/internal/mwscene/node.go
+++ b/mwsoak/internal/mwscene/node.go
@@ -149,7 +149,7 @@
 		"--use.dialect=platform", "--use.source=platform", "--use.store=platform",
 		"--use.ledger=none", "--use.router=expect", "--use.retry=window", "--admit.limiter=slots",
 		"--admit.medium-after=5s", "--admit.long-after=5s", "--relay.margin=15ms",
-		"--relay.drain=5500ms", "--retry.window-ratio=0.12",
+		"--relay.drain=5500ms",
 		"--retry.token-reserve=1", "--retry.chain=100",
 	}
 }
