--- a/mwsoak/internal/mwscene/scene.go
+++ b/mwsoak/internal/mwscene/scene.go
@@ -61,7 +61,8 @@
 const (
 	// host is the name that all routes have.
 	host = "shop.example"
-	// services are those of the nodes in turn.
+	// serviceA is that of nodes 0 and 1, serviceB that of nodes 2 and 3, and so
+	// on, so that each has backend servers in both availability zones.
 	serviceA = "katalog"
 	serviceB = "auftrag"
 )
--- a/mwsoak/main.go
+++ b/mwsoak/main.go
@@ -29,12 +29,20 @@
 	exitFailed = 2
 )
 
+// Bounds of --nodes.
+const (
+	// leastNodes is how many nodes give each service a backend server.
+	leastNodes = 3
+	// mostNodes keeps to a few hundred processes.
+	mostNodes = 200
+)
+
 // settings are the flags of the program.
 type settings struct {
 	Program string          `long:"program" env:"MW_SOAK_PROGRAM" default:"target/mwnode" description:"program of the node"`
 	First   uint64          `long:"first" env:"MW_SOAK_FIRST" description:"first seed; the time of day where it is 0"`
 	Seeds   int             `long:"seeds" env:"MW_SOAK_SEEDS" default:"10" description:"number of seeds"`
-	Nodes   int             `long:"nodes" env:"MW_SOAK_NODES" default:"4" description:"nodes of a run, 2 to 200"`
+	Nodes   int             `long:"nodes" env:"MW_SOAK_NODES" default:"4" description:"nodes of a run, 3 to 200"`
 	Length  time.Duration   `long:"length" env:"MW_SOAK_LENGTH" default:"12s" description:"time with faults of a run, 4s at the least"`
 	Jobs    int             `long:"jobs" env:"MW_SOAK_JOBS" default:"2" description:"runs at the same time"`
 	Logs    string          `long:"logs" env:"MW_SOAK_LOGS" description:"folder for the nodes' logs; empty keeps none"`
@@ -46,8 +54,8 @@
 
 func (s *settings) check() error {
 	switch {
-	case s.Nodes < 2 || s.Nodes > 200:
-		return fmt.Errorf("--nodes=%d: expected 2 to 200", s.Nodes)
+	case s.Nodes < leastNodes || s.Nodes > mostNodes:
+		return fmt.Errorf("--nodes=%d: expected %d to %d", s.Nodes, leastNodes, mostNodes)
 	case s.Length < 4*time.Second:
 		return fmt.Errorf("--length=%v: expected at least 4s", s.Length)
 	case s.Seeds < 1 || s.Jobs < 1:
