--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -92,13 +92,13 @@
 // serve leads one request through the kernel. It breaks the connection off
 // where the answer is not whole.
 func (f *Front) serve(w http.ResponseWriter, r *http.Request, o mwcall.Origin) {
-	between := o == mwcall.Peer
+	between, limits := o == mwcall.Peer, f.limits(o)
 	c, err := f.call(r, o)
 	if err == nil && isUpgrade(r) {
 		err = badHeader("Upgrade", "a request of HTTP")
 	}
 	if err == nil {
-		err = f.withinLimits(r, o)
+		err = withinLimits(r, limits)
 	}
 	if err != nil {
 		f.refuse(w, c, err, mwcall.Head{Code: mwcode.Of(err)}, between)
@@ -107,7 +107,7 @@
 	// The body of r itself stays in place: net/http's server looks at its
 	// type to see whether the sender still waits to be asked for it.
 	in := &patient{
-		rc: http.NewResponseController(w), body: r.Body, idle: f.idle, most: f.limits(o).BodyBytes,
+		rc: http.NewResponseController(w), body: r.Body, idle: f.idle, most: limits.BodyBytes,
 	}
 	b, err := newBody(in, r.ContentLength, f.buffer)
 	if err != nil {
@@ -148,8 +148,7 @@
 }
 
 // withinLimits checks the size of a request as far as its header tells it.
-func (f *Front) withinLimits(r *http.Request, o mwcall.Origin) error {
-	l := f.limits(o)
+func withinLimits(r *http.Request, l mwconfig.CallerLimits) error {
 	if l.HeaderBytes > 0 && headerSize(r) > l.HeaderBytes {
 		return mwcode.New(mwcode.HeaderTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", l.HeaderBytes)))
 	}
--- a/mwsoak/internal/mwscene/fault.go
+++ b/mwsoak/internal/mwscene/fault.go
@@ -1,7 +1,6 @@
 package mwscene
 
 import (
-	"context"
 	"syscall"
 	"time"
 
@@ -34,8 +33,6 @@
 	return ks
 }
 
-func sleep(ctx context.Context, d time.Duration) { mwtimer.Sleep(ctx, d) }
-
 // register registers a kind of fault.
 func register(k mwplan.Kind, f func(*Scene, mwplan.Event)) { add(k, f, false) }
 
@@ -56,7 +53,7 @@
 // onWay registers a kind of fault of a connection.
 func onWay(k mwplan.Kind, f func(p *mwproxy.Proxy, forS func())) {
 	onNode(k, func(s *Scene, n *node, e mwplan.Event) {
-		f(n.ways[e.Way], func() { sleep(s.stop, e.For) })
+		f(n.ways[e.Way], func() { mwtimer.Sleep(s.stop, e.For) })
 	})
 }
 
@@ -64,7 +61,7 @@
 func onStore(k mwplan.Kind, f mwstandin.Fault) {
 	register(k, func(s *Scene, e mwplan.Event) {
 		s.setStore(f)
-		sleep(s.stop, e.For)
+		mwtimer.Sleep(s.stop, e.For)
 		s.setStore(mwstandin.Fault{})
 	})
 }
@@ -95,7 +92,7 @@
 	})
 	onNode("node-pause", func(s *Scene, n *node, e mwplan.Event) {
 		n.signal(syscall.SIGSTOP)
-		sleep(s.stop, e.For)
+		mwtimer.Sleep(s.stop, e.For)
 		n.signal(syscall.SIGCONT)
 	})
 	onNode("node-hup", func(_ *Scene, n *node, _ mwplan.Event) { n.signal(syscall.SIGHUP) })
--- a/mwsoak/internal/mwscene/node.go
+++ b/mwsoak/internal/mwscene/node.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwtimer"
 	"mustardwheel.example/mwsoak/internal/mwcheck"
 	"mustardwheel.example/mwsoak/internal/mwproxy"
 	"mustardwheel.example/platform/mwstandin"
@@ -302,7 +303,7 @@
 	} else if at, ok := b.Leave(ctx); ok {
 		n.s.check.Left(b.life, at)
 	}
-	sleep(n.s.stop, servesOn)
+	mwtimer.Sleep(n.s.stop, servesOn)
 	b.Deregister(ctx)
 	b.crash()
 	n.restartBackend("")
@@ -328,7 +329,7 @@
 	b := n.backend
 	n.mu.Unlock()
 	b.crash()
-	sleep(n.s.stop, after)
+	mwtimer.Sleep(n.s.stop, after)
 	if id != "" {
 		id = b.Instance()
 	}
