--- /dev/null
+++ b/mwlib/mwhttp/keep_test.go
@@ -0,0 +1,129 @@
+package mwhttp_test
+
+import (
+	"context"
+	"io"
+	gonet "net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwhttp"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+)
+
+// stragglerServer is a backend server that holds requests of "/straggler" up
+// to their end and answers those of "/together" when all of a round are there.
+type stragglerServer struct {
+	opened atomic.Int32 // opened is the number of connections so far.
+	came   chan struct{}
+
+	mu    sync.Mutex
+	round *sync.WaitGroup
+}
+
+func (b *stragglerServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/straggler":
+		b.came <- struct{}{}
+		<-r.Context().Done()
+		return
+	case "/together":
+		b.mu.Lock()
+		round := b.round
+		b.mu.Unlock()
+		round.Done()
+		round.Wait()
+	}
+	io.WriteString(w, "ok")
+}
+
+// together makes n calls that are all at the backend server at one time.
+func (b *stragglerServer) together(c *qt.C, s *stack, n int) {
+	b.mu.Lock()
+	b.round = new(sync.WaitGroup)
+	b.round.Add(n)
+	b.mu.Unlock()
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() {
+			resp, _ := do(c, s.request(c, "POST", "/together", nil))
+			c.Check(code(resp), qt.Equals, "")
+		})
+	}
+	wg.Wait()
+}
+
+// newStragglerServer announces a stragglerServer at the target's node of s.
+func newStragglerServer(t *testing.T, c *qt.C) (*stragglerServer, *stack) {
+	b := &stragglerServer{came: make(chan struct{}, 1)}
+	s := newStack(t, http.NotFoundHandler())
+	srv := httptest.NewUnstartedServer(b)
+	srv.Config.ConnState = func(_ gonet.Conn, st http.ConnState) {
+		if st == http.StateNew {
+			b.opened.Add(1)
+		}
+	}
+	srv.Start()
+	c.Cleanup(srv.Close)
+	c.Assert(s.target.Announce(mwcall.Announcement{
+		Service: service, Address: mwid.Address(srv.Listener.Addr().String()),
+		Slots: 16, Connections: 16, TTL: mwkernel.MaxTTL,
+	}), qt.IsNil)
+	return b, s
+}
+
+// keptCalls is the number of connections that the tests below open first.
+const keptCalls = 4
+
+// A caller that leaves costs its own connection and no other.
+func TestCallerThatLeavesKeepsConnections(t *testing.T) {
+	c := qt.New(t)
+	b, s := newStragglerServer(t, c)
+	b.together(c, s, keptCalls)
+	c.Assert(b.opened.Load(), qt.Equals, int32(keptCalls))
+
+	ctx, leave := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		resp, err := http.DefaultClient.Do(s.request(c, "POST", "/straggler", nil).WithContext(ctx))
+		c.Check(err, qt.IsNotNil)
+		if err == nil {
+			resp.Body.Close()
+		}
+	})
+	<-b.came
+	leave()
+	wg.Wait()
+	b.together(c, s, keptCalls)
+	c.Check(b.opened.Load() <= keptCalls+1, qt.IsTrue, qt.Commentf("%d opened", b.opened.Load()))
+}
+
+// A call that gets no answer in time costs no connection that answered
+// meanwhile.
+func TestStragglerKeepsConnectionsThatAnswer(t *testing.T) {
+	c := qt.New(t)
+	b, s := newStragglerServer(t, c)
+	b.together(c, s, keptCalls)
+
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		r := s.request(c, "POST", "/straggler", nil)
+		r.Header.Set(mwhttp.HeaderTimeout, "500ms")
+		resp, _ := do(c, r)
+		c.Check(code(resp), qt.Equals, want(mwcode.Silent))
+	})
+	<-b.came
+	b.together(c, s, keptCalls)
+	c.Assert(b.opened.Load(), qt.Equals, int32(keptCalls+1))
+	wg.Wait()
+	b.together(c, s, keptCalls)
+	c.Check(b.opened.Load(), qt.Equals, int32(keptCalls+1))
+}
--- a/mwlib/mwhttp/link.go
+++ b/mwlib/mwhttp/link.go
@@ -6,6 +6,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -59,10 +60,11 @@
 
 // link is one connection, used by one call at a time.
 type link struct {
-	set   *linkSet
-	conn  net.Conn
-	r     *bufio.Reader
-	until time.Time // until is when the other side may close it.
+	set      *linkSet
+	conn     net.Conn
+	r        *bufio.Reader
+	until    time.Time // until is when the other side may close it.
+	answered time.Time // answered is when its last answer ended.
 }
 
 // Times of connections to backend servers.
@@ -103,7 +105,7 @@
 
 func (l *links) close() {
 	l.m.Range(func(_ mwid.Address, s *linkSet) bool {
-		s.drop()
+		s.closeIf(func(*link) bool { return true })
 		return true
 	})
 }
@@ -116,30 +118,27 @@
 
 // expire closes the connections that rested for too long.
 func (s *linkSet) expire(now time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	n := 0
-	for _, k := range s.idle {
-		if now.Before(k.until) {
-			s.idle[n] = k
-			n++
-			continue
-		}
-		k.conn.Close()
-	}
-	clear(s.idle[n:])
-	s.idle = s.idle[:n]
+	s.closeIf(func(k *link) bool { return !now.Before(k.until) })
 }
 
-// drop closes all idle connections. It is called when one went silent, as the
-// others may be as dead.
-func (s *linkSet) drop() {
+// dropSilent closes the idle connections that have not answered since a call
+// began that got no answer in time: they may be as dead as that call's own.
+// Those that have answered since work, and the call met a slow answer alone.
+func (s *linkSet) dropSilent(began time.Time) {
+	s.closeIf(func(k *link) bool { return k.answered.Before(began) })
+}
+
+// closeIf closes the idle connections for which f is true.
+func (s *linkSet) closeIf(f func(k *link) bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, k := range s.idle {
+	s.idle = slices.DeleteFunc(s.idle, func(k *link) bool {
+		if !f(k) {
+			return false
+		}
 		k.conn.Close()
-	}
-	s.idle = nil
+		return true
+	})
 }
 
 // pop returns the next connection to use, or nil.
@@ -227,7 +226,8 @@
 		k.conn.Close()
 		return
 	}
-	k.until = time.Now().Add(k.set.rule.idleOf(resp.Header))
+	k.answered = time.Now()
+	k.until = k.answered.Add(k.set.rule.idleOf(resp.Header))
 	k.set.push(k)
 }
 
--- a/mwlib/mwhttp/linkcall.go
+++ b/mwlib/mwhttp/linkcall.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/textproto"
 	"sync"
+	"time"
 
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
@@ -32,6 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
+	began := time.Now()
 	c := &linkCall{k: k, out: out, early: early, belongs: belongs}
 	c.stop = context.AfterFunc(ctx, func() { k.conn.Close() })
 	resp, err := c.roundTrip()
@@ -43,11 +45,19 @@
 	code := mwcode.ConnectionLost
 	if ctx.Err() != nil {
 		code = mwcode.Silent
-		s.drop()
+	}
+	if timedOut(ctx) {
+		s.dropSilent(began)
 	}
 	return nil, mwcode.New(code, mwcode.Wrap(err))
 }
 
+// timedOut tells whether ctx ended with its deadline. A caller that leaves
+// says nothing of the connections.
+func timedOut(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.DeadlineExceeded)
+}
+
 func (c *linkCall) roundTrip() (*http.Response, error) {
 	if err := c.write(); err != nil {
 		return nil, err
--- a/mwlib/mwhttp/trip.go
+++ b/mwlib/mwhttp/trip.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"net/http/httptrace"
 	"net/textproto"
@@ -33,7 +32,7 @@
 		return resp, nil
 	}
 	code := tr.code(ctx)
-	if code == mwcode.Silent {
+	if code == mwcode.Silent && timedOut(ctx) {
 		p.dropIdle(addr)
 	}
 	return nil, mwcode.New(code, mwcode.Wrap(err))
@@ -56,7 +55,7 @@
 	defer t.mu.Unlock()
 	sent := t.ran || t.conn != nil && t.conn.written.Load() > t.start
 	switch {
-	case !sent && errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case !sent && timedOut(ctx):
 		return mwcode.DeadlinePassed
 	case !sent && ctx.Err() != nil:
 		return mwcode.CallerGone
