--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -46,12 +46,14 @@
 
 func newGate[P mwlimit.Policy](cfg *config, stat *gateStats, p P, a mwcall.Announcement) *gate[P] {
 	l := mwlimit.New(p, a.Slots, a.Connections)
-	return &gate[P]{
+	g := &gate[P]{
 		cfg: cfg, stat: stat, limiter: l, announced: a.Slots,
 		slots:   mwlane.New(a.Slots, cfg.mediumShare, cfg.longShare),
 		plain:   newBand(0, unbounded, cfg.queue),
 		retired: make(map[mwconfig.DocumentName]*band),
 	}
+	g.slots.SetLimit(l.Limit(), a.Slots)
+	return g
 }
 
 // bound takes a new announcement.
--- /dev/null
+++ b/mwlib/mwadmit/last_test.go
@@ -0,0 +1,51 @@
+package mwadmit_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwadmit"
+	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
+)
+
+// TestLastSlots replays a demand of 1.3 times what a backend server can do, all
+// of whose work takes 1.3 times as long while its last slots are in use. It does
+// most with these left free; at least 95 in 100 of that is reached. Where the
+// last slots are like the others, all but these are used.
+func TestLastSlots(t *testing.T) {
+	const took = 22 * time.Millisecond
+	tests := []struct {
+		name  string
+		slots mwunit.Slots
+		last  float64
+		free  mwunit.Slots // free are the slots that are best left free.
+	}{
+		{"few slots", 15, 1.3, 1},
+		{"some slots", 30, 1.3, 2},
+		{"many slots", 146, 1.3, 8},
+		{"last slots like the others", 30, 1, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			best := float64(test.slots-test.free) / took.Seconds()
+			for seed := range seeds() {
+				r := run(t, load{
+					plugin: mwadmit.AdaptiveName, set: mwsetting.Admit{Limiter: mwadmit.SlotsName},
+					slots: test.slots, workers: int(test.slots), last: test.last, length: 4 * time.Second,
+					demands: []demand{{
+						importance: browsing, length: mwconfig.Short, took: took, timeout: 300 * time.Millisecond,
+						rate: steady(1.3 * best),
+					}},
+				}, seed)
+				got := r[0].rate(1, 4) / best
+				t.Logf("seed %d: %.3f of the best", seed, got)
+				c.Check(got >= 0.95, qt.IsTrue, qt.Commentf("%.3f of the best", got))
+			}
+		})
+	}
+}
--- a/mwlib/mwadmit/load_test.go
+++ b/mwlib/mwadmit/load_test.go
@@ -26,13 +26,16 @@
 type server struct {
 	workers chan struct{}
 	slow    func(at time.Duration) float64
-	start   time.Time
+	// last is how many times longer work takes that begins while more than
+	// nineteen twentieths of the workers are busy.
+	last  float64
+	start time.Time
 }
 
 func newServer(workers int) *server {
 	return &server{
 		workers: make(chan struct{}, workers), start: time.Now(),
-		slow: func(time.Duration) float64 { return 1 },
+		slow: func(time.Duration) float64 { return 1 }, last: 1,
 	}
 }
 
@@ -45,6 +48,9 @@
 	}
 	defer func() { <-s.workers }()
 	d = time.Duration(float64(d) * s.slow(time.Since(s.start)))
+	if 20*len(s.workers) > 19*cap(s.workers) {
+		d = time.Duration(float64(d) * s.last)
+	}
 	select {
 	case <-mwtimer.NewTimer(d).C:
 		return true
@@ -74,6 +80,7 @@
 	slots   mwunit.Slots // slots are announced.
 	workers int          // workers are there in truth.
 	slow    func(at time.Duration) float64
+	last    float64             // last is that of the server; 0 stands for 1.
 	class   mwkernel.Classifier // class sets the lengths; nil leaves those of the demands.
 	length  time.Duration
 	demands []demand
@@ -135,6 +142,9 @@
 		if l.slow != nil {
 			r.server.slow = l.slow
 		}
+		if l.last > 0 {
+			r.server.last = l.last
+		}
 		for i, d := range l.demands {
 			n := int(l.length/time.Second) + 1
 			rep := &report{
--- a/mwlib/mwadmit/plugin.go
+++ b/mwlib/mwadmit/plugin.go
@@ -39,19 +39,20 @@
 var Limiters = mwregistry.New[mwkernel.Env, mwkernel.Admission]("limiter")
 
 func init() {
-	Limiters.Register(GradientName, adaptiveBy(mwlimit.NewGradient))
-	Limiters.Register(AIMDName, adaptiveBy(mwlimit.NewAIMD))
-	Limiters.Register(SlotsName, adaptiveBy(mwlimit.NewSlots))
+	Limiters.Register(GradientName, adaptiveBy(func(*config) mwlimit.Gradient { return mwlimit.NewGradient() }))
+	Limiters.Register(AIMDName, adaptiveBy(func(*config) mwlimit.AIMD { return mwlimit.NewAIMD() }))
+	Limiters.Register(SlotsName, adaptiveBy(func(cfg *config) mwlimit.Slots { return mwlimit.NewSlots(cfg.slotShare) }))
 	mwkernel.Admissions.Register(AdaptiveName, makeAdaptive)
 	mwkernel.Admissions.Register(FixedName, makeFixed)
 	mwkernel.Admissions.Register(NoneName, makeNone)
 }
 
 // adaptiveBy returns a factory of an Adaptive whose policies newPolicy makes.
-func adaptiveBy[P mwlimit.Policy](newPolicy func() P) mwkernel.Factory[mwkernel.Admission] {
+func adaptiveBy[P mwlimit.Policy](newPolicy func(*config) P) mwkernel.Factory[mwkernel.Admission] {
 	return func(env mwkernel.Env) (mwkernel.Admission, mwregistry.Cleanup, error) {
 		st := &stats{set: env.Metrics}
-		return newAdaptive(newConfig(env.Settings.Admit), st, newPolicy), func() {}, nil
+		cfg := newConfig(env.Settings.Admit)
+		return newAdaptive(cfg, st, func() P { return newPolicy(cfg) }), func() {}, nil
 	}
 }
 
@@ -71,6 +72,7 @@
 type config struct {
 	queue       mwunit.Slots
 	wait        time.Duration
+	slotShare   mwunit.Ratio // slotShare is for the limiter slots.
 	mediumShare mwunit.Ratio
 	longShare   mwunit.Ratio
 }
@@ -79,6 +81,7 @@
 const (
 	defaultWait                     = 50 * time.Millisecond
 	defaultQueue       mwunit.Slots = 256
+	defaultSlotShare   mwunit.Ratio = 0.95
 	defaultMediumShare mwunit.Ratio = 0.7
 	defaultLongShare   mwunit.Ratio = 0.4
 )
@@ -89,5 +92,6 @@
 		queue:       cmp.Or(s.Queue, defaultQueue),
 		mediumShare: cmp.Or(s.MediumShare, defaultMediumShare),
 		longShare:   cmp.Or(s.LongShare, defaultLongShare),
+		slotShare:   cmp.Or(s.SlotShare, defaultSlotShare),
 	}
 }
--- a/mwlib/mwlimit/aimd.go
+++ b/mwlib/mwlimit/aimd.go
@@ -27,6 +27,9 @@
 	aimdSlack = 2 * time.Millisecond
 )
 
+// Announced returns limit, or slots at first.
+func (AIMD) Announced(limit, slots float64) float64 { return learnt(limit, slots) }
+
 // Next implements Policy.
 func (AIMD) Next(limit float64, w Window) float64 {
 	if w.Shed > 0 {
--- a/mwlib/mwlimit/gradient.go
+++ b/mwlib/mwlimit/gradient.go
@@ -23,6 +23,9 @@
 	gradientShed = 0.8
 )
 
+// Announced returns limit, or slots at first.
+func (Gradient) Announced(limit, slots float64) float64 { return learnt(limit, slots) }
+
 // Next implements Policy.
 func (Gradient) Next(limit float64, w Window) float64 {
 	if w.Shed > 0 {
--- a/mwlib/mwlimit/limiter.go
+++ b/mwlib/mwlimit/limiter.go
@@ -42,6 +42,9 @@
 
 // Policy says how a limit follows what a Window shows.
 type Policy interface {
+	// Announced returns the limit for a backend server that announces slots,
+	// where it had limit before; 0 stands for none.
+	Announced(limit, slots float64) float64
 	// Next returns the limit that follows limit after w.
 	Next(limit float64, w Window) float64
 }
@@ -97,18 +100,25 @@
 // connections.
 func New[P Policy](p P, slots mwunit.Slots, connections mwunit.Connections) *Limiter[P] {
 	l := &Limiter[P]{policy: p}
-	l.limit = float64(slots)
 	l.Bound(slots, connections)
 	return l
 }
 
-// Bound sets the bounds from an announcement; the limit stays where it is
-// within them.
+// Bound takes an announcement, which sets the bounds.
 func (l *Limiter[P]) Bound(slots mwunit.Slots, connections mwunit.Connections) {
 	l.slots = float64(max(slots, 1))
 	l.lowest = max(1, lowestRatio*l.slots)
 	l.most = max(l.lowest, float64(connections))
-	l.limit = min(max(l.limit, l.lowest), l.most)
+	l.limit = min(max(l.policy.Announced(l.limit, l.slots), l.lowest), l.most)
+}
+
+// learnt returns limit, and slots where there is none: the limit of a policy
+// that learns stays where it is.
+func learnt(limit, slots float64) float64 {
+	if limit == 0 {
+		return slots
+	}
+	return limit
 }
 
 // Limit returns the limit; it is at least 1.
--- a/mwlib/mwlimit/limiter_test.go
+++ b/mwlib/mwlimit/limiter_test.go
@@ -156,3 +156,26 @@
 		})
 	}
 }
+
+func TestSlotsKeepsToItsPart(t *testing.T) {
+	tests := []struct {
+		name  string
+		slots mwunit.Slots
+		want  mwunit.Slots
+	}{
+		{"one", 1, 1},
+		{"so few that one costs more than it brings", 4, 4},
+		{"few", 5, 4},
+		{"some", 15, 14},
+		{"many", 146, 138},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			l := mwlimit.New(mwlimit.NewSlots(0.95), test.slots, 1000)
+			c.Check(l.Limit(), qt.Equals, test.want)
+			l.Bound(20, 1000)
+			c.Check(l.Limit(), qt.Equals, mwunit.Slots(19), qt.Commentf("after another announcement"))
+		})
+	}
+}
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -102,6 +102,7 @@
 func (c *checker) admit(a Admit) {
 	c.must(a.Queue >= 0, "admit.queue", "at least 0")
 	c.positive(a.Wait, "admit.wait")
+	c.ratio(a.SlotShare, "admit.slot-share")
 	c.ratio(a.MediumShare, "admit.medium-share")
 	c.ratio(a.LongShare, "admit.long-share")
 	c.must(a.LongShare <= a.MediumShare, "admit.long-share", "not above --admit.medium-share")
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -92,6 +92,7 @@
 	Queue       mwunit.Slots    `long:"queue" env:"QUEUE" default:"256" description:"calls that may wait for each service and lane"`
 	Wait        time.Duration   `long:"wait" env:"WAIT" default:"50ms" description:"time within which calls that wait should start; sets how many may wait below --admit.queue"`
 	Limiter     mwregistry.Name `long:"limiter" env:"LIMITER" default:"gradient" description:"how the limit of calls in flight follows what is seen: gradient (on latency), aimd (on queue time) or slots (as announced)"`
+	SlotShare   mwunit.Ratio    `long:"slot-share" env:"SLOT_SHARE" default:"0.95" description:"part of the announced slots that the limiter slots uses, 0 to 1: some backend servers take longer for all their work while the last slots are in use"`
 	MediumShare mwunit.Ratio    `long:"medium-share" env:"MEDIUM_SHARE" default:"0.7" description:"greatest part of the slots that medium and long work hold together, 0 to 1"`
 	LongShare   mwunit.Ratio    `long:"long-share" env:"LONG_SHARE" default:"0.4" description:"greatest part of the slots that long work holds, 0 to 1"`
 	MediumAfter time.Duration   `long:"medium-after" env:"MEDIUM_AFTER" default:"200ms" description:"time from which on work counts as medium"`
