--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"log/slog"
-	"math/rand/v2"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -20,6 +19,7 @@
 	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwstore"
+	"mustardwheel.example/mwlib/mwturn"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -54,9 +54,13 @@
 	backends *backends
 	accounts *accounts
 	parents  *parents
+	turns    *mwturn.Turns[pathOf]
 	life     *life
 }
 
+// pathOf is what a route is for.
+type pathOf struct{ host, prefix string }
+
 // options are the settings of New that are not a node's settings.
 type options struct {
 	log     *slog.Logger
@@ -95,7 +99,7 @@
 		place: mwcall.Target{
 			Node: env.Node, Peer: set.Listen.PeerAddress(), Zone: set.Place.Zone, Region: set.Place.Region,
 		},
-		accounts: newAccounts(), parents: newParents(), life: newLife(),
+		accounts: newAccounts(), parents: newParents(), turns: mwturn.New[pathOf](), life: newLife(),
 	}
 	var ends ends
 	if err := k.makePlugins(env, &ends); err != nil {
@@ -232,7 +236,7 @@
 	if !found {
 		return mwcode.New(mwcode.NoRoute)
 	}
-	c.Service = r.Pick(rand.Float64())
+	c.Service = r.Pick(k.turn(r))
 	if r.Timeout == 0 {
 		return nil
 	}
@@ -242,6 +246,15 @@
 	return nil
 }
 
+// turn returns the point of the split of r for the next call; where there is one
+// service alone, any point does.
+func (k *Kernel) turn(r *mwconfig.Route) float64 {
+	if len(r.Split) < 2 {
+		return 0
+	}
+	return k.turns.Next(pathOf{r.Host, r.PathPrefix})
+}
+
 // Ready tells whether this node should get calls: it has a configuration and
 // is not about to end.
 func (k *Kernel) Ready() bool {
