--- a/mwbench/internal/mwexperiment/blocking.go
+++ b/mwbench/internal/mwexperiment/blocking.go
@@ -44,14 +44,7 @@
 	q := mwclient.Request{Service: p.Download.Service, Method: http.MethodGet, Path: "/list", Timeout: callerTimeout}
 	d := q
 	d.Path, d.Timeout = longPath+"/artwork", e.Phase(longTimeout, longTimeoutShort)
-	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{short: q, long: d})
-	if err != nil {
-		return nil, err
-	}
-	defer end()
-	b := newBlocking(t)
-	b.send(ctx)
-	return b.measures(), ctx.Err()
+	return play(ctx, e, spec, map[mwload.Kind]mwclient.Request{short: q, long: d}, newBlocking)
 }
 
 // blocking is one run: short work alone, then beside long downloads.
--- a/mwbench/internal/mwexperiment/crest.go
+++ b/mwbench/internal/mwexperiment/crest.go
@@ -47,16 +47,9 @@
 			Policy: mwconfig.Policy{Rank: -1, Repeatable: ptr(true)},
 		}),
 	}
-	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{
+	return play(ctx, e, spec, map[mwload.Kind]mwclient.Request{
 		browse: browseRequest(p), order: orderRequest(p), proof: proofRequest(p),
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer end()
-	c := newCrest(t)
-	c.send(ctx)
-	return c.measures(), ctx.Err()
+	}, newCrest)
 }
 
 // crest is one run: browsing swings up to crestFactor times its usual demand
--- a/mwbench/internal/mwexperiment/overload.go
+++ b/mwbench/internal/mwexperiment/overload.go
@@ -53,14 +53,7 @@
 	}
 	q := browseRequest(p)
 	q.Method, q.Timeout, q.Tries, q.Pause = http.MethodGet, overloadTimeout, overloadTries, overloadPause
-	t, end, err := newTrial(ctx, e, spec, map[mwload.Kind]mwclient.Request{whole: q})
-	if err != nil {
-		return nil, err
-	}
-	defer end()
-	o := newOverload(t)
-	o.send(ctx)
-	return o.measures(), ctx.Err()
+	return play(ctx, e, spec, map[mwload.Kind]mwclient.Request{whole: q}, newOverload)
 }
 
 func newOverload(t *trial) *overload {
--- a/mwbench/internal/mwexperiment/retired.go
+++ b/mwbench/internal/mwexperiment/retired.go
@@ -66,16 +66,9 @@
 	orders := serviceOf(p.Order, work(p.Order), mwfakeserver.Class{
 		Prefix: retiredPrefix, Time: retiredTime, Jitter: jitter, Body: shortBody,
 	})
-	t, end, err := newTrial(ctx, e, mwtestbed.Spec{
+	return play(ctx, e, mwtestbed.Spec{
 		Services: []mwtestbed.Service{browsing, orders}, Works: retiredWorks(e),
-	}, retiredRequests(e))
-	if err != nil {
-		return nil, err
-	}
-	defer end()
-	r := newRetired(t)
-	r.send(ctx)
-	return r.measures(), ctx.Err()
+	}, retiredRequests(e), newRetired)
 }
 
 func newRetired(t *trial) *retired {
--- a/mwbench/internal/mwexperiment/trial.go
+++ b/mwbench/internal/mwexperiment/trial.go
@@ -52,6 +52,25 @@
 	return t, func() { endClient(); endBed() }, nil
 }
 
+// played is a scenario over one trial: it sends its load and then measures.
+type played interface {
+	send(ctx context.Context)
+	measures() []mwfigure.Measure
+}
+
+// play starts a trial, plays what open makes of it and returns what that
+// measured.
+func play[P played](ctx context.Context, e mwscenario.Env, spec mwtestbed.Spec, rs map[mwload.Kind]mwclient.Request, open func(*trial) P) ([]mwfigure.Measure, error) {
+	t, end, err := newTrial(ctx, e, spec, rs)
+	if err != nil {
+		return nil, err
+	}
+	defer end()
+	p := open(t)
+	p.send(ctx)
+	return p.measures(), ctx.Err()
+}
+
 // run sends the streams and returns when all requests have ended.
 func (t *trial) run(ctx context.Context, streams ...mwload.Stream) {
 	do := func(ctx context.Context, s mwload.Shot) mwload.Outcome {
