--- a/mwlib/mwturn/turn.go
+++ b/mwlib/mwturn/turn.go
@@ -15,28 +15,40 @@
 // weight, whose shares are looked at over some hundred calls.
 //
 // Keys begin at random points, so that nodes do not choose the same at the same
-// time.
+// time. A key that was not used for long is forgotten where others need its
+// place, and then begins anew.
 type Turns[K comparable] struct {
-	m *mwshard.Map[K, float64]
+	points *mwshard.Cache[K, point]
 }
 
-// step is the distance of two points: the golden ratio, less 1.
-const step = math.Phi - 1
+// point is the last point of a key; begun is false where there is none.
+type point struct {
+	x     float64
+	begun bool
+}
+
+const (
+	// step is the distance of two points: the golden ratio, less 1.
+	step = math.Phi - 1
+	// rememberedKeys is about how many keys are kept in mind: some times the
+	// routes of a node's callers that have a split.
+	rememberedKeys = 1024
+)
 
 // New returns Turns without keys.
 func New[K comparable]() *Turns[K] {
-	return &Turns[K]{m: mwshard.New[K, float64](mwshard.DefaultShards)}
+	return &Turns[K]{points: mwshard.NewCache[K, point](rememberedKeys)}
 }
 
 // Next returns the next point of k.
 func (t *Turns[K]) Next(k K) float64 {
 	var x float64
-	t.m.Update(k, func(last float64, ok bool) (float64, bool) {
-		if !ok {
-			last = rand.Float64()
+	t.points.Update(k, func(last point) point {
+		if !last.begun {
+			last.x = rand.Float64()
 		}
-		_, x = math.Modf(last + step)
-		return x, true
+		_, x = math.Modf(last.x + step)
+		return point{x: x, begun: true}
 	})
 	return x
 }
