--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,8 @@
 	"stray-decline": strayDecline,
 	"queued-drain":  queuedDrain,
 	"early-answer":  earlyAnswer,
+	"deaf-feed":     deafFeed,
+	"encoded-slash": encodedSlash,
 }
 
 func main() { os.Exit(play()) }
