--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -29,7 +29,7 @@
 	"queued-drain":  queuedDrain,
 	"early-answer":  earlyAnswer,
 	"deaf-feed":     deafFeed,
-	"encoded-slash": encodedSlash,
+	"left-again":    leftAgain,
 }
 
 func main() { os.Exit(play()) }
--- a/review/standin/system.go
+++ b/review/standin/system.go
@@ -161,6 +161,28 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// silence makes the store leave all calls without an answer, or ends that.
+func (s *system) silence(on bool) error {
+	req, err := http.NewRequest(http.MethodPut, "http://"+s.store+"/admin/fault", strings.NewReader(fmt.Sprintf(`{"Silent":%t}`, on)))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+// listens says whether n accepts connections on its control address.
+func (n *node) listens() bool {
+	c, err := net.Dial("tcp", n.ctrl)
+	if err == nil {
+		c.Close()
+	}
+	return err == nil
+}
+
 // route is a route of the desired state.
 type route struct {
 	name, host, prefix, kind, service string
--- a/review/standin/target.go
+++ b/review/standin/target.go
@@ -34,6 +34,9 @@
 	// connection stays open.
 	serve func(x *exchange) bool
 
+	// noBeats is set when the target sends no more liveness reports.
+	noBeats atomic.Bool
+
 	mu   sync.Mutex
 	runs map[string][]run
 	stop context.CancelFunc
@@ -78,7 +81,9 @@
 // beat sends liveness reports.
 func (t *target) beat(ctx context.Context) {
 	for {
-		t.report()
+		if !t.noBeats.Load() {
+			t.report()
+		}
 		select {
 		case <-ctx.Done():
 			return
