--- a/review/standin/queued_drain.go
+++ b/review/standin/queued_drain.go
@@ -22,7 +22,7 @@
 		perService = 5
 		capacity   = 15
 		rounds     = 6
-		work       = 250 * time.Millisecond
+		work       = 300 * time.Millisecond
 		lead       = 400 * time.Millisecond // from the begin of slowness to the departure
 	)
 	var slow switcher
