mwhttp: send a call that failed on a connection over another one

A declined call may be sent to the same target again, under the same request id. If the second attempt took the connection of the first, a late second copy of the rejection passed for the answer to the second attempt while the target ran it. The record of the case shows this order of events: decline, second copy, run, and a third attempt after it.

A connection now keeps the ids of the calls that ended with an error status on it, and pop passes over it for such a call. It is closed after 256 of them.

--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -64,7 +64,7 @@
 		out.Header.Set("Expect", "100-continue")
 		return e.f.streamedPeers.run(ctx, e.f.streamedPeers.get(addr), out, addr, e.forward1xx)
 	}
-	return e.f.bufferedPeers.run(ctx, out, addr, acceptAny, e.forward1xx)
+	return e.f.bufferedPeers.run(ctx, linkRequest{out: out, matches: acceptAny, on1xx: e.forward1xx}, addr)
 }
 
 // acceptAny accepts every answer: nodes send exactly one per call.
@@ -74,8 +74,10 @@
 func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
 	out := e.request(a.Address)
 	e.f.dialect.EncodeRequest(out.Header, c, a, time.Now())
-	matches := func(h http.Header) bool { return e.f.dialect.MatchesRequest(h, c) }
-	resp, err := e.f.backends.run(ctx, out, a.Address, matches, e.forward1xx)
+	resp, err := e.f.backends.run(ctx, linkRequest{
+		out: out, id: c.ID, on1xx: e.forward1xx,
+		matches: func(h http.Header) bool { return e.f.dialect.MatchesRequest(h, c) },
+	}, a.Address)
 	if err != nil {
 		return nil, err
 	}
--- a/mwlib/mwhttp/link.go
+++ b/mwlib/mwhttp/link.go
@@ -17,6 +17,7 @@
 	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwpanic"
+	"mustardwheel.example/mwlib/mwset"
 	"mustardwheel.example/mwlib/mwshard"
 )
 
@@ -67,6 +68,10 @@
 	r          *mwconn.AnswerReader
 	expires    time.Time // when this node stops reusing the connection if it stays idle
 	lastAnswer time.Time // end of the last answer
+	// failed holds the ids of the calls that ended with an error status on this
+	// connection. Such a call may be sent again under the same id, and a second copy
+	// of its first answer could not be told from the answer to that attempt.
+	failed mwset.Set[mwid.RequestID]
 }
 
 // Limits of links.
@@ -90,6 +95,9 @@
 	// maxSkippedAnswers is the maximum number of informational answers and of
 	// answers to other calls that precede the answer to a call.
 	maxSkippedAnswers = 16
+	// maxFailed is the maximum number of calls that end with an error status on
+	// one connection. It bounds the memory for their ids.
+	maxFailed = 256
 )
 
 func newLinks(cfg linkConfig, panics *mwpanic.Recorder) *links {
@@ -148,23 +156,22 @@
 	})
 }
 
-// pop removes and returns the next connection to use, or nil if none is idle.
-func (s *linkSet) pop(now time.Time) *link {
+// pop removes and returns the next connection for the call with the given id, or
+// nil if none is idle on which that call has not failed yet.
+func (s *linkSet) pop(now time.Time, id mwid.RequestID) *link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.lastUsed = now
-	if len(s.idle) == 0 {
-		return nil
-	}
-	if last := len(s.idle) - 1; s.cfg.lifo {
-		k := s.idle[last]
-		s.idle[last] = nil
-		s.idle = s.idle[:last]
-		return k
+	for n := range s.idle {
+		if s.cfg.lifo {
+			n = len(s.idle) - 1 - n
+		}
+		if k := s.idle[n]; !k.failed.Has(id) {
+			s.idle = slices.Delete(s.idle, n, n+1)
+			return k
+		}
 	}
-	k := s.idle[0]
-	s.idle = s.idle[1:]
-	return k
+	return nil
 }
 
 func (s *linkSet) push(k *link) {
@@ -173,10 +180,11 @@
 	s.idle = append(s.idle, k)
 }
 
-// acquire returns a usable idle connection, or opens one if there is none.
-func (s *linkSet) acquire(ctx context.Context) (*link, error) {
+// acquire returns a usable idle connection for the call with the given id, or opens
+// one if there is none.
+func (s *linkSet) acquire(ctx context.Context, id mwid.RequestID) (*link, error) {
 	for now := time.Now(); ; {
-		k := s.pop(now)
+		k := s.pop(now, id)
 		if k == nil {
 			return s.dial(ctx)
 		}
@@ -200,7 +208,9 @@
 		}
 		return nil, mwcode.New(code, mwcode.Wrap(err))
 	}
-	return &link{set: s, conn: conn, r: mwconn.NewAnswerReader(conn, linkBufferSize)}, nil
+	return &link{
+		set: s, conn: conn, r: mwconn.NewAnswerReader(conn, linkBufferSize), failed: mwset.New[mwid.RequestID](),
+	}, nil
 }
 
 // noPendingInput reports whether an idle connection has nothing to read: neither
@@ -227,10 +237,13 @@
 	return err == nil && quiet
 }
 
-// release returns the connection to its set if it is usable after resp, and
-// closes it otherwise.
-func (k *link) release(resp *http.Response) {
-	if resp.Close || k.r.Buffered() > 0 {
+// release returns the connection to its set if it is usable after resp, the answer
+// to the call with the given id, and closes it otherwise.
+func (k *link) release(id mwid.RequestID, resp *http.Response) {
+	if id != "" && resp.StatusCode >= http.StatusBadRequest {
+		k.failed.Add(id)
+	}
+	if resp.Close || k.r.Buffered() > 0 || len(k.failed) >= maxFailed {
 		k.conn.Close()
 		return
 	}
--- a/mwlib/mwhttp/linkcall.go
+++ b/mwlib/mwhttp/linkcall.go
@@ -16,29 +16,36 @@
 	"mustardwheel.example/mwlib/mwpanic"
 )
 
+// linkRequest is a request to be sent on a link.
+type linkRequest struct {
+	out *http.Request
+	// id is the id that the answer repeats, and "" if answers have none.
+	id mwid.RequestID
+	// matches reports whether an answer with the given headers answers the request.
+	matches func(http.Header) bool
+	on1xx   func(int, textproto.MIMEHeader) error
+}
+
 // linkCall is one request on a link.
 type linkCall struct {
+	linkRequest
 	k           *link
 	panics      *mwpanic.Recorder
-	out         *http.Request
-	on1xx       func(int, textproto.MIMEHeader) error
-	matches     func(http.Header) bool
 	writeResult chan error // result of a write concurrent with the read; nil if the write precedes the read
 	stop        func() bool
 }
 
-// run sends the request to addr and returns the head of its answer. It skips up to
-// maxSkippedAnswers answers that are informational or for whose headers matches
-// returns false. The code of its error shows
-// whether a byte of the request may have reached addr.
-func (l *links) run(ctx context.Context, out *http.Request, addr mwid.Address, matches func(http.Header) bool, on1xx func(int, textproto.MIMEHeader) error) (*http.Response, error) {
+// run sends r to addr and returns the head of its answer. It skips up to
+// maxSkippedAnswers answers that are informational or don't match r. The code of its
+// error shows whether a byte of the request may have reached addr.
+func (l *links) run(ctx context.Context, r linkRequest, addr mwid.Address) (*http.Response, error) {
 	s := l.setFor(addr)
-	k, err := s.acquire(ctx)
+	k, err := s.acquire(ctx, r.id)
 	if err != nil {
 		return nil, err
 	}
 	start := time.Now()
-	c := &linkCall{k: k, panics: l.panics, out: out, on1xx: on1xx, matches: matches}
+	c := &linkCall{linkRequest: r, k: k, panics: l.panics}
 	c.stop = context.AfterFunc(ctx, func() { k.conn.Close() })
 	resp, err := c.roundTrip()
 	if err == nil {
@@ -188,7 +195,7 @@
 	}
 	b.done = true
 	if b.c.stop() && usable {
-		b.c.k.release(b.resp)
+		b.c.k.release(b.c.id, b.resp)
 		return
 	}
 	b.c.k.conn.Close()
