platform, mwkernel: accept no heartbeat unchecked that may precede a leave

A restarted process checks the health of the backend server before it accepts such a heartbeat. Without a configuration it knows no health path, and accepted the heartbeat all the same. The log of the case has the line "backend server health checked" with Health Unknown, and then the announcement.

From 10 s after its start a node accepts it, since it can no longer have been sent to an earlier process. The same gap existed if the server did not respond in time, and for the second of two late heartbeats, as the first one had made the server known.

--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -109,15 +109,33 @@
 }
 
 // MayBeOutdated reports whether a may be outdated although this process has no
-// newer announcement. That is the case if this process has no announcement of
-// the service, but the backend server announced itself before, to an earlier
-// process on this VM. The backend server may since have told that process that
-// it leaves.
+// newer announcement: the backend server may have told an earlier process on this
+// VM that it leaves, and a was sent before. That is not the case if a is its first
+// announcement, if it has not left since this process accepted an announcement of
+// it, or if this process has run for so long that it would know of the leave.
 func (k *Kernel) MayBeOutdated(a mwcall.Announcement) bool {
-	_, known := k.backends.m.Get(a.Service)
-	return !known && a.Seq > firstSeq
+	if a.Seq <= firstSeq {
+		return false
+	}
+	old, known := k.backends.m.Get(a.Service)
+	switch {
+	case !known:
+		return true
+	case !old.olderThan(a):
+		return false // Announce ignores a.
+	}
+	serves := !old.Leaving && old.Instance == a.Instance && old.Started.Equal(a.Started)
+	return !serves && k.MayPrecedeStart()
 }
 
+// maxAnnouncementDelay is the maximum time from sending an announcement to its
+// arrival.
+const maxAnnouncementDelay = 10 * time.Second
+
+// MayPrecedeStart reports whether an announcement that arrives now may have been sent
+// before this process started.
+func (k *Kernel) MayPrecedeStart() bool { return time.Since(k.started) < maxAnnouncementDelay }
+
 // firstSeq is the sequence number of a backend server's first announcement after
 // its start.
 const firstSeq = 1
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -47,6 +47,8 @@
 	log  *slog.Logger
 	stat *stats
 	self mwcall.Target
+	// started is the time at which New was called.
+	started time.Time
 	// panics contains the panics of goroutines that the kernel starts.
 	panics *mwpanic.Recorder
 
@@ -103,7 +105,7 @@
 		Log: o.log, Metrics: o.metrics, Panics: mwpanic.New(o.log, o.metrics), Peers: o.peers, Store: o.store,
 	}
 	k := &Kernel{
-		set: set, log: o.log, panics: env.Panics, stat: newStats(o.metrics),
+		set: set, log: o.log, panics: env.Panics, stat: newStats(o.metrics), started: time.Now(),
 		self: mwcall.Target{
 			Node: env.Node, Peer: set.Listen.PeerAddress(), Zone: set.Place.Zone, Region: set.Place.Region,
 		},
