mwkernel, mwadmit: refuse queued calls when their backend server leaves

deliver looked at the announcement before the call waited for a slot, and not after it.

A leave, a withdrawal or the expiry of an announcement now refuses the queued calls, as new ones are refused, by RefuseQueued of the admission. run reads the announcement directly before the handover, which also covers a call that waits for its claim, and one whose backend server was replaced meanwhile.

--- a/mwlib/mwadmit/adaptive.go
+++ b/mwlib/mwadmit/adaptive.go
@@ -91,6 +91,13 @@
 	}
 }
 
+// RefuseQueued refuses the queued calls of service s with mwcode.Draining.
+func (a *Adaptive[P]) RefuseQueued(s mwid.ServiceName) {
+	if g, ok := a.gates.get(s); ok {
+		g.refuseQueued(mwcode.Draining)
+	}
+}
+
 // Load returns the current load of service s.
 func (a *Adaptive[P]) Load(s mwid.ServiceName) mwkernel.Load {
 	g, ok := a.gates.get(s)
--- a/mwlib/mwadmit/fixed.go
+++ b/mwlib/mwadmit/fixed.go
@@ -26,11 +26,12 @@
 	mu       sync.Mutex
 	slots    mwunit.Slots
 	inFlight mwunit.Slots
-	queue    *mwqueue.Queue[chan struct{}, mwqueue.ByAge]
+	queue    *mwqueue.Queue[chan mwcode.Code, mwqueue.ByAge]
 }
 
-// waiter is a queued call; its channel is closed when the call may start.
-type waiter = mwqueue.Entry[chan struct{}]
+// waiter is a queued call. Its channel receives mwcode.OK when the call may start,
+// or the code of its refusal. It has a buffer for that one code.
+type waiter = mwqueue.Entry[chan mwcode.Code]
 
 func newFixed(cfg *config) *Fixed {
 	return &Fixed{cfg: cfg, gates: newTable[*fixedGate]()}
@@ -39,7 +40,7 @@
 // Announce sets the number of slots of a service.
 func (f *Fixed) Announce(a mwcall.Announcement) {
 	g, _ := f.gates.getOrSet(a.Service, func() *fixedGate {
-		return &fixedGate{queue: mwqueue.New[chan struct{}](mwqueue.ByAge{}, f.cfg.queue)}
+		return &fixedGate{queue: mwqueue.New[chan mwcode.Code](mwqueue.ByAge{}, f.cfg.queue)}
 	})
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -57,17 +58,12 @@
 	if !ok {
 		return nil, mwcode.New(mwcode.Overloaded)
 	}
-	select {
-	case <-w.Value:
-	case <-ctx.Done():
-	}
-	if ctx.Err() != nil {
-		g.withdraw(w)
-		return nil, mwcode.New(contextCode(ctx))
+	if code := g.await(ctx, w); code != mwcode.OK {
+		return nil, mwcode.New(code)
 	}
-	if d, ok := c.Remaining(time.Now()); ok && d <= 0 {
-		g.withdraw(w)
-		return nil, mwcode.New(mwcode.DeadlinePassed)
+	if code := endedCode(ctx, c); code != mwcode.OK {
+		g.release()
+		return nil, mwcode.New(code)
 	}
 	var once sync.Once
 	return func(mwcall.Sample) { once.Do(g.release) }, nil
@@ -89,7 +85,7 @@
 func (g *fixedGate) enter() (w *waiter, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	w = &waiter{Value: make(chan struct{})}
+	w = &waiter{Value: make(chan mwcode.Code, 1)}
 	if g.queue.Push(w) != nil {
 		return nil, false
 	}
@@ -97,16 +93,35 @@
 	return w, true
 }
 
-// withdraw ends a call that will not run: it removes the call from the
-// queue or, if the call was already started, releases its slot.
-func (g *fixedGate) withdraw(w *waiter) {
+// await waits until w is started or refused, or until ctx is done while w is queued.
+func (g *fixedGate) await(ctx context.Context, w *waiter) mwcode.Code {
+	select {
+	case code := <-w.Value:
+		return code
+	case <-ctx.Done():
+	}
+	if g.remove(w) {
+		return contextCode(ctx)
+	}
+	return <-w.Value
+}
+
+// remove removes w from the queue and reports whether it was there.
+func (g *fixedGate) remove(w *waiter) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.queue.Remove(w) {
-		return
+	return g.queue.Remove(w)
+}
+
+// endedCode returns the code for a call that no longer needs to run, or mwcode.OK.
+func endedCode(ctx context.Context, c *mwcall.Call) mwcode.Code {
+	if ctx.Err() != nil {
+		return contextCode(ctx)
 	}
-	g.inFlight--
-	g.startQueued()
+	if d, ok := c.Remaining(time.Now()); ok && d <= 0 {
+		return mwcode.DeadlinePassed
+	}
+	return mwcode.OK
 }
 
 func (g *fixedGate) release() {
@@ -116,10 +131,23 @@
 	g.startQueued()
 }
 
+// RefuseQueued refuses the queued calls of service s with mwcode.Draining.
+func (f *Fixed) RefuseQueued(s mwid.ServiceName) {
+	g, ok := f.gates.get(s)
+	if !ok {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for g.queue.Len() > 0 {
+		g.queue.Pop().Value <- mwcode.Draining
+	}
+}
+
 // startQueued starts queued calls, oldest first, while slots are free.
 func (g *fixedGate) startQueued() {
 	for g.inFlight < g.slots && g.queue.Len() > 0 {
-		close(g.queue.Pop().Value)
+		g.queue.Pop().Value <- mwcode.OK
 		g.inFlight++
 	}
 }
@@ -135,6 +163,9 @@
 	return func(mwcall.Sample) {}, nil
 }
 
+// RefuseQueued does nothing: None queues no calls.
+func (None) RefuseQueued(mwid.ServiceName) {}
+
 // Load returns the zero Load.
 func (None) Load(mwid.ServiceName) mwkernel.Load { return mwkernel.Load{} }
 
--- a/mwlib/mwadmit/gate.go
+++ b/mwlib/mwadmit/gate.go
@@ -231,6 +231,21 @@
 	return gone
 }
 
+// refuseQueued refuses all queued calls with code.
+func (g *gate[P]) refuseQueued(code mwcode.Code) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for p := range g.partitions() {
+		for _, q := range p.queues {
+			for q.Len() > 0 {
+				t := q.Pop().Value
+				g.finish(t)
+				t.refuse(code)
+			}
+		}
+	}
+}
+
 // release frees the slot of a call that has run, and records its sample. It
 // reports whether t was running; if not, it does nothing, so that a second
 // release has no effect.
--- a/mwlib/mwadmit/refuse_test.go
+++ b/mwlib/mwadmit/refuse_test.go
@@ -44,7 +44,7 @@
 	return c, ctx, cancel
 }
 
-// TestRandomCalls sends random calls. Each refusal must say that the call was
+// TestRandomCalls sends random calls, and at times refuses all queued ones. Each refusal must say that the call was
 // not run, no call may start after its deadline, and no call may be in flight
 // or queued at the end.
 func TestRandomCalls(t *testing.T) {
@@ -64,6 +64,9 @@
 	a := makeAdmission(t, name, mwsetting.Admit{Queue: 6}, slots)
 	var wg sync.WaitGroup
 	for range 100 {
+		if rng.IntN(20) == 0 {
+			a.RefuseQueued(service)
+		}
 		call, ctx, cancel := randomCall(t.Context(), rng)
 		took := time.Duration(rng.IntN(60)) * time.Millisecond
 		wg.Go(func() {
@@ -108,6 +111,39 @@
 	})
 }
 
+// RefuseQueued must refuse each queued call, also those of retired interfaces, and
+// no call that runs.
+func TestRefuseQueued(t *testing.T) {
+	for _, name := range []mwregistry.Name{mwadmit.AdaptiveName, mwadmit.FixedName} {
+		t.Run(string(name), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				a := makeAdmission(t, name, mwsetting.Admit{}, 1)
+				release, err := a.Admit(t.Context(), newCall(orders, "runs"))
+				c.Assert(err, qt.IsNil)
+				codes := make(chan mwcode.Code)
+				for i := range 3 {
+					call := newCall(browsing, mwid.RootID(fmt.Sprint(i)))
+					if i == 2 {
+						call.Class.Retired, call.Class.Ceiling = "retired", 1
+					}
+					go func() { codes <- serve(t.Context(), a, call, 0) }()
+				}
+				synctest.Wait()
+				c.Assert(a.Load(service).Queued, qt.Equals, mwunit.Slots(3))
+				a.RefuseQueued(service)
+				for range 3 {
+					c.Check(<-codes, qt.Equals, mwcode.Draining)
+				}
+				c.Check(a.Load(service).Queued, qt.Equals, mwunit.Slots(0))
+				c.Check(a.Load(service).InFlight, qt.Equals, mwunit.Slots(1))
+				release(mwcall.Sample{})
+				c.Check(serve(t.Context(), a, newCall(orders, "next"), 0), qt.Equals, mwcode.OK)
+			})
+		})
+	}
+}
+
 func TestRaisedCeilingLetsThoseWhoWaitGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
--- a/mwlib/mwadmit/stat.go
+++ b/mwlib/mwadmit/stat.go
@@ -33,7 +33,7 @@
 // refusalCodes are the codes with which an Adaptive refuses calls.
 var refusalCodes = []mwcode.Code{
 	mwcode.Overloaded, mwcode.DeadlineTooShort, mwcode.DeadlinePassed,
-	mwcode.RetiredCeiling, mwcode.LaneFull, mwcode.CallerGone,
+	mwcode.RetiredCeiling, mwcode.LaneFull, mwcode.CallerGone, mwcode.Draining,
 }
 
 // gate returns the metrics of service s.
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -74,6 +74,19 @@
 	return v.Announcement, ok && !v.withdrawn && time.Now().Before(v.expires)
 }
 
+// serving returns the announcement of s if its backend server takes calls. The code
+// of its error is mwcode.NoBackend or mwcode.Draining.
+func (b *backends) serving(s mwid.ServiceName) (mwcall.Announcement, error) {
+	a, ok := b.get(s)
+	switch {
+	case !ok:
+		return a, mwcode.New(mwcode.NoBackend)
+	case a.Leaving:
+		return a, mwcode.New(mwcode.Draining)
+	}
+	return a, nil
+}
+
 // sweep deletes the expired entries. For each backend server that had not left,
 // it also tells the other nodes that its target is gone.
 func (b *backends) sweep(now time.Time) {
@@ -89,6 +102,7 @@
 	})
 	for _, s := range expired {
 		b.k.log.Info("backend server announcement expired", "Service", s)
+		b.k.admit.RefuseQueued(s)
 		b.k.member.Withdraw(s)
 	}
 }
@@ -104,6 +118,9 @@
 		return nil
 	}
 	k.admit.Announce(a)
+	if a.Leaving {
+		k.admit.RefuseQueued(a.Service)
+	}
 	k.member.Announce(a)
 	return nil
 }
@@ -182,6 +199,7 @@
 // Withdraw withdraws the announcement of s.
 func (k *Kernel) Withdraw(s mwid.ServiceName) {
 	k.backends.withdraw(s)
+	k.admit.RefuseQueued(s)
 	k.member.Withdraw(s)
 }
 
--- a/mwlib/mwkernel/fake_test.go
+++ b/mwlib/mwkernel/fake_test.go
@@ -36,6 +36,8 @@
 	class  mwcall.Class
 	claim  *claim
 	slots  mwunit.Slots
+	// admitting, unless nil, is called while a call is being admitted.
+	admitting func()
 
 	mu    sync.Mutex
 	nodes map[mwid.NodeID]*node
@@ -131,6 +133,8 @@
 	answers    atomic.Int64
 	head       mwcall.Head
 	err        error
+	// deliveredTo is the address to which the call was last delivered.
+	deliveredTo mwid.Address
 }
 
 func (e *exchange) Resendable() bool { return e.resendable }
@@ -146,8 +150,9 @@
 	return e.answer(mwcall.Head{}), nil
 }
 
-func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, _ mwcall.Announcement) (mwkernel.Answer, error) {
+func (e *exchange) Deliver(ctx context.Context, c *mwcall.Call, a mwcall.Announcement) (mwkernel.Answer, error) {
 	e.cl.delivered.Add(1)
+	e.deliveredTo = a.Address
 	h, err := e.cl.handle(ctx, e.n, c)
 	if err != nil {
 		return nil, err
@@ -283,6 +288,8 @@
 
 func (a admission) Announce(mwcall.Announcement) {}
 
+func (a admission) RefuseQueued(mwid.ServiceName) {}
+
 func (a admission) Hold(*mwcall.Call) time.Duration { return 0 }
 
 func (a admission) Load(mwid.ServiceName) mwkernel.Load { return mwkernel.Load{} }
@@ -292,17 +299,27 @@
 		a.cl.busy.Add(-1)
 		return nil, mwcode.New(mwcode.BackendFull)
 	}
+	if a.cl.admitting != nil {
+		a.cl.admitting()
+	}
 	return func(mwcall.Sample) { a.cl.busy.Add(-1) }, nil
 }
 
 // claim is the ledger of a cluster and the only claim that it issues.
 type claim struct {
-	err                      error // returned by Begin
+	err                      error  // returned by Begin
+	claiming                 func() // called by Claim, unless nil
 	begins, notRun, finished atomic.Int64
 }
 
-func (l *claim) Claim(context.Context, *mwcall.Call) (mwkernel.Claim, error) { return l, nil }
-func (l *claim) StoredAnswer() (mwcall.EncodedAnswer, bool)                  { return nil, false }
+func (l *claim) Claim(context.Context, *mwcall.Call) (mwkernel.Claim, error) {
+	if l.claiming != nil {
+		l.claiming()
+	}
+	return l, nil
+}
+
+func (l *claim) StoredAnswer() (mwcall.EncodedAnswer, bool) { return nil, false }
 
 func (l *claim) Begin() error {
 	l.begins.Add(1)
--- a/mwlib/mwkernel/point.go
+++ b/mwlib/mwkernel/point.go
@@ -47,6 +47,9 @@
 	// Admit waits until c may start. Its error has a code for which
 	// mwcode.Code.NotRun is true.
 	Admit(ctx context.Context, c *mwcall.Call) (Release, error)
+	// RefuseQueued refuses the queued calls of a service with mwcode.Draining,
+	// because its backend server takes no calls any more.
+	RefuseQueued(s mwid.ServiceName)
 	// Load returns the present state of a service.
 	Load(s mwid.ServiceName) Load
 	// Hold returns the mean time for which calls of the route of c hold their
--- a/mwlib/mwkernel/serve.go
+++ b/mwlib/mwkernel/serve.go
@@ -36,12 +36,8 @@
 	if k.lifecycle.isLeaving() {
 		return nil, refuse(mwcode.Draining, mwcall.Head{Unused: c.Budget, RetryElsewhere: true})
 	}
-	a, ok := k.backends.get(c.Service)
-	if !ok {
-		return nil, refuse(mwcode.NoBackend, mwcall.Head{Unused: c.Budget, RetryElsewhere: true})
-	}
-	if a.Leaving {
-		return nil, refuse(mwcode.Draining, mwcall.Head{Unused: c.Budget, RetryElsewhere: true})
+	if _, err := k.backends.serving(c.Service); err != nil {
+		return nil, refuse(mwcode.CodeOf(err), mwcall.Head{Unused: c.Budget, RetryElsewhere: true})
 	}
 	queued := time.Now()
 	release, err := k.admit.Admit(ctx, c)
@@ -56,7 +52,7 @@
 			p.finish(mwcode.Internal, false, true)
 		}
 	}()
-	ans, err := p.run(ctx, ex, a)
+	ans, err := p.run(ctx, ex)
 	returned = true
 	if err != nil {
 		p.finish(mwcode.CodeOf(err), false, ctx.Err() != nil)
@@ -99,11 +95,19 @@
 	ended   bool
 }
 
-// run claims c if it is not repeatable, and hands it over.
-func (p *delivery) run(ctx context.Context, ex Exchange, a mwcall.Announcement) (Answer, error) {
+// run claims c if it is not repeatable, and hands it over. The backend server may
+// have left or been replaced since the call arrived, so run reads its announcement
+// directly before the handover.
+func (p *delivery) run(ctx context.Context, ex Exchange) (Answer, error) {
 	if ans, err := p.acquireClaim(ctx, ex); ans != nil || err != nil {
 		return ans, err
 	}
+	a, err := p.k.backends.serving(p.c.Service)
+	if err != nil {
+		p.recordNotRun()
+		p.k.logDeclined(p.c, mwcode.CodeOf(err))
+		return nil, refuse(mwcode.CodeOf(err), mwcall.Head{Unused: p.c.Budget, RetryElsewhere: true})
+	}
 	if ctx.Err() != nil {
 		p.recordNotRun()
 		return nil, refuse(mwcode.CodeOf(contextError(ctx)), mwcall.Head{Unused: p.c.Budget})
