mwkernel, mwhost: refuse calls that arrive after a drain has stopped listening

Report of other operators: requests that came late in the grace time of a planned stop were passed on and cut at its end.

A draining node stops listening after 3 s, but a request whose body was complete only after that was still passed on, with whatever remained of the grace time. The host closes the kernel at that moment, and a closed kernel refuses each call that arrives, truthfully as not run.

--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -263,7 +263,8 @@
 // a refusal that states that their call did not run. Each answer asks the
 // caller to close its connection; closing idle connections at once would break
 // requests that are on their way. After drainLinger no further request is
-// accepted, so that the drain completes even if callers never stop. Only the
+// accepted, and one whose body is complete only then is refused, so that the drain
+// completes even if callers never stop. Only the
 // admin and readiness listeners stay open, until the Host is stopped.
 func (h *Host) Drain(ctx context.Context) error {
 	h.log.Info("draining", "Node", h.kernel.Self().Node)
@@ -274,6 +275,7 @@
 	case <-linger.C:
 	case <-ctx.Done():
 	}
+	h.kernel.Close()
 	var g errgroup.Group
 	for _, l := range h.listeners() {
 		if l == h.admin || l == h.ready {
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -250,6 +250,11 @@
 	return idle
 }
 
+// Close refuses all calls that arrive from now on, also those that other targets
+// could take. Calls in flight continue. A draining node calls it some time before it
+// must end, so that no call that it passes on is still in flight then.
+func (k *Kernel) Close() { k.lifecycle.closed.Store(true) }
+
 // Drain calls Leave and waits until no call is in flight at this node. If ctx
 // ends first, it returns context.Cause(ctx).
 func (k *Kernel) Drain(ctx context.Context) error {
--- a/mwlib/mwkernel/kernel.go
+++ b/mwlib/mwkernel/kernel.go
@@ -211,6 +211,10 @@
 func (k *Kernel) Serve(ctx context.Context, c *mwcall.Call, ex Exchange) {
 	k.lifecycle.enter()
 	defer k.lifecycle.exit()
+	if k.lifecycle.closed.Load() {
+		k.refuseClosed(c, ex)
+		return
+	}
 	if c.Depth > mwunit.MaxDepth {
 		ex.Refuse(mwcode.New(mwcode.TooDeep), mwcall.Head{Unused: c.Budget})
 		return
--- a/mwlib/mwkernel/life.go
+++ b/mwlib/mwkernel/life.go
@@ -6,10 +6,12 @@
 )
 
 // lifecycle counts the calls in flight at this node, from all of its listeners,
-// and records whether the node is leaving and so takes no new calls.
+// and records how far the node has come in leaving: it is leaving once its own
+// backend server takes no new calls, and closed once it passes on none either.
 type lifecycle struct {
 	inFlight atomic.Int64
 	leaving  atomic.Bool
+	closed   atomic.Bool
 	once     sync.Once
 	idle     chan struct{} // closed when the node is leaving and no call is in flight
 }
--- a/mwlib/mwkernel/route.go
+++ b/mwlib/mwkernel/route.go
@@ -86,6 +86,14 @@
 	ex.Refuse(err, mwcall.Head{Code: code, Unused: c.Budget})
 }
 
+// refuseClosed refuses a call that arrived after Close.
+func (k *Kernel) refuseClosed(c *mwcall.Call, ex Exchange) {
+	k.log.Info(eventRefused, "ID", c.ID, "Root", c.Root, "Service", c.Service,
+		"Code", int(mwcode.Draining), "Reason", mwcode.Draining.String())
+	k.stat.countRefusal(mwcode.Draining)
+	ex.Refuse(mwcode.New(mwcode.Draining), mwcall.Head{Unused: c.Budget, RetryElsewhere: true})
+}
+
 // begin checks that the call may start and sets the budget of a root call;
 // configured means that the node has a configuration.
 func (r *routing) begin(configured bool) error {
