mwhttp: test the memory of bodies without end

A body without end costs less than 0.9 MB after 3.7 MB of it were passed on, whether it is chunked, has the longest length, or ends with its connection, and also if it belongs to a failure. Nothing had to change.

--- a/mwlib/mwhttp/endless_test.go
+++ b/mwlib/mwhttp/endless_test.go
@@ -114,14 +114,54 @@
 	return mwcode.OK
 }
 
-// A node of 184 MB must survive 200 backend servers that send endless heads at
-// once, so each may cost it 0.9 MB.
+// A node of 184 MB must survive 200 backend servers that send without end at once,
+// so each may cost it 0.9 MB.
+const (
+	endlessCalls = 200
+	smallMemory  = 184 << 20
+	bytesPerCall = smallMemory / endlessCalls
+)
+
+// A body without end is passed on as it comes, and the memory that it takes must not
+// depend on its length. The caller ends the call.
+func TestMemoryOfEndlessBodies(t *testing.T) {
+	const passedOn = 4 * bytesPerCall
+	tests := []struct {
+		name string
+		b    *endlessServer
+	}{
+		{"chunked", &endlessServer{start: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", repeat: "3e8\r\n" + strings.Repeat("x", 1000) + "\r\n"}},
+		{"of the longest length", &endlessServer{start: "HTTP/1.1 200 OK\r\nContent-Length: 9223372036854775807\r\n\r\n", repeat: "x"}},
+		{"until the end of the connection", &endlessServer{start: "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", repeat: "x"}},
+		{"of a failure", &endlessServer{start: "HTTP/1.1 500 Internal Server Error\r\n\r\n", repeat: "x"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newStack(t, http.NotFoundHandler())
+			announceEndless(c, s, test.b, 1)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			r := s.request(c, "POST", "/", nil)
+			r.Header.Set(mwhttp.HeaderTimeout, longTimeout)
+			resp, err := http.DefaultClient.Do(r)
+			c.Assert(err, qt.IsNil)
+			n, err := io.CopyN(io.Discard, resp.Body, passedOn)
+			c.Assert(err, qt.IsNil)
+			c.Assert(resp.Body.Close(), qt.IsNil)
+			runtime.ReadMemStats(&after)
+			c.Check(n, qt.Equals, int64(passedOn))
+			used := after.TotalAlloc - before.TotalAlloc
+			c.Check(used < bytesPerCall, qt.IsTrue, qt.Commentf("%d bytes a call", used))
+		})
+	}
+}
+
+// A head without end is read up to a limit.
 func TestMemoryOfEndlessAnswers(t *testing.T) {
 	const (
-		calls        = 200
-		slots        = 4 * calls // The limiter starts below the announced slots.
-		memory       = 184 << 20
-		bytesPerCall = memory / calls
+		calls = endlessCalls
+		slots = 4 * calls // The limiter starts below the announced slots.
 	)
 	c := qt.New(t)
 	s := newStack(t, http.NotFoundHandler())
