mwhttp: open no more connections than calls at once

A call that may not return to the idle connections on which it failed opens a new one. A backend server limits its connections and resets those beyond the limit, so an idle one is closed in exchange.

TestSecondRejectionIsNotTheNextAttempt failed before in its new check: six connections stayed open for one call at a time.

--- a/mwlib/mwhttp/link.go
+++ b/mwlib/mwhttp/link.go
@@ -157,7 +157,8 @@
 }
 
 // pop removes and returns the next connection for the call with the given id, or
-// nil if none is idle on which that call has not failed yet.
+// nil if none is idle on which that call has not failed yet. In that case it closes
+// one of the others, so that there are never more connections than calls at once.
 func (s *linkSet) pop(now time.Time, id mwid.RequestID) *link {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,6 +172,10 @@
 			return k
 		}
 	}
+	if len(s.idle) > 0 {
+		s.idle[0].conn.Close()
+		s.idle = slices.Delete(s.idle, 0, 1)
+	}
 	return nil
 }
 
