--- a/mwlib/mwconn/conn_test.go
+++ b/mwlib/mwconn/conn_test.go
@@ -1,6 +1,7 @@
 package mwconn_test
 
 import (
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -12,27 +13,9 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwconn"
+	"mustardwheel.example/mwlib/mwmemnet"
 )
 
-// pipeListener is a listener whose connections are pipes in memory, so that the
-// tests run in virtual time.
-type pipeListener struct {
-	conns  chan net.Conn
-	closed chan struct{}
-}
-
-func (p *pipeListener) Accept() (net.Conn, error) {
-	select {
-	case c := <-p.conns:
-		return c, nil
-	case <-p.closed:
-		return nil, net.ErrClosed
-	}
-}
-
-func (p *pipeListener) Close() error   { close(p.closed); return nil }
-func (p *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
-
 // The server's own limits, longer than all limits under test.
 const (
 	serverHeader = time.Hour
@@ -48,7 +31,7 @@
 func newFixture(c *qt.C, l mwconn.Limits) *fixture {
 	r := &fixture{}
 	r.limits.Store(&l)
-	p := &pipeListener{make(chan net.Conn), make(chan struct{})}
+	p := mwmemnet.NewListener()
 	srv := &http.Server{
 		ReadHeaderTimeout: serverHeader, IdleTimeout: serverIdle, ConnState: mwconn.ConnState,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -62,9 +45,9 @@
 		srv.Serve(mwconn.NewListener(p, func() mwconn.Limits { return *r.limits.Load() }))
 	}()
 	c.Cleanup(func() { srv.Close(); <-done })
-	var server net.Conn
-	r.caller, server = net.Pipe()
-	p.conns <- server
+	var err error
+	r.caller, err = p.Dial(context.Background(), "", "")
+	c.Assert(err, qt.IsNil)
 	return r
 }
 
--- a/mwlib/mwmemnet/network.go
+++ b/mwlib/mwmemnet/network.go
@@ -1,5 +1,6 @@
-// Package mwmemnet simulates the network between nodes in memory. A test sets
-// the latency, message loss and partitions.
+// Package mwmemnet simulates networks in memory, so that tests run in virtual time:
+// the one between nodes, whose latency, message loss and partitions a test sets, and
+// the connections of a server.
 package mwmemnet
 
 import (
