mwhost: stop listening before a short drain is over

A draining node listens for 3 s more. If the whole drain has less, it took requests until the end and cut them there.

TestShortDrainLeavesTimeForCalls failed before: the drain of 2.9 s ended by its deadline while the node was listening.

--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -36,6 +36,9 @@
 	idleTimeout   = 2 * time.Minute
 	// drainLinger is how long a draining node keeps its listeners open.
 	drainLinger = 3 * time.Second
+	// maxLingerShare is the maximum part of the time for a drain in which the
+	// listeners stay open. The rest is for the calls that arrived at its end.
+	maxLingerShare = 0.6
 )
 
 // Host is a running node. It opens its listeners before it creates the kernel,
@@ -258,17 +261,18 @@
 // calls in flight. It returns nil once the last call has completed, or an error
 // if ctx is done first.
 //
-// The listeners stay open for drainLinger. In this time callers that do not
+// The listeners stay open for drainLinger, or a part of the time until the deadline of
+// ctx if that is shorter. In this time callers that do not
 // know of the drain yet are still served by other targets, and other nodes get
 // a refusal that states that their call did not run. Each answer asks the
 // caller to close its connection; closing idle connections at once would break
-// requests that are on their way. After drainLinger no further request is
+// requests that are on their way. After that time no further request is
 // accepted, and one whose body is complete only then is refused, so that the drain
-// completes even if callers never stop. Only the
-// admin and readiness listeners stay open, until the Host is stopped.
+// completes even if callers never stop. Only the admin and readiness listeners stay
+// open, until the Host is stopped.
 func (h *Host) Drain(ctx context.Context) error {
 	h.log.Info("draining", "Node", h.kernel.Self().Node)
-	linger := mwtimer.NewTimer(drainLinger)
+	linger := mwtimer.NewTimer(lingerOf(ctx))
 	defer linger.Stop()
 	idle := h.kernel.Leave()
 	select {
@@ -294,6 +298,15 @@
 	}
 }
 
+// lingerOf returns how long the listeners stay open in a drain that ends with ctx.
+func lingerOf(ctx context.Context) time.Duration {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return drainLinger
+	}
+	return min(drainLinger, time.Duration(maxLingerShare*float64(time.Until(end))))
+}
+
 // closeWhileDraining returns a handler that calls next and, while the node
 // drains, asks clients to close their connections.
 func (h *Host) closeWhileDraining(next http.Handler) http.Handler {
