platform, mwversion: let one node of a zone repeat requests for changes soon

Only the first reader of a zone needs them, since the other nodes learn of a change from it.

LeadsSource tells the source which node that is. TestCallsWithoutChanges failed before for the other readers: 25 calls a minute instead of 4. TestChangeAfterTheStoreWasSilent holds as before.

--- a/mwlib/mwversion/poll.go
+++ b/mwlib/mwversion/poll.go
@@ -29,9 +29,15 @@
 type ranker interface{ Rank(duty string) int }
 
 // isPoller reports whether this node polls the store.
-func (f *Fanout) isPoller() bool {
-	r, ok := f.member.(ranker)
-	return !ok || r.Rank(pollDuty) < pollersPerZone
+func (f *Fanout) isPoller() bool { return f.pollRank() < pollersPerZone }
+
+// pollRank returns the rank of this node among those of its availability zone that
+// could poll the store. Without a membership that ranks nodes, it is 0.
+func (f *Fanout) pollRank() int {
+	if r, ok := f.member.(ranker); ok {
+		return r.Rank(pollDuty)
+	}
+	return 0
 }
 
 // pollLoop polls the store once per period while this node is one of the
--- a/mwlib/mwversion/source.go
+++ b/mwlib/mwversion/source.go
@@ -28,6 +28,10 @@
 	// nodes of each availability zone do; the others fetch new versions from their
 	// peers. No node does soon after its start, before it knows its peers.
 	FollowsSource() bool
+	// LeadsSource reports whether this node is the first of the nodes of its
+	// availability zone that follow the source. It alone has to notice soon that the
+	// source has stopped to respond, since the others learn of a change from it.
+	LeadsSource() bool
 }
 
 // Sources is the extension point for sources.
@@ -55,6 +59,9 @@
 // FollowsSource implements Installer.
 func (f *Fanout) FollowsSource() bool { return time.Since(f.started) >= followDelay && f.isPoller() }
 
+// LeadsSource implements Installer.
+func (f *Fanout) LeadsSource() bool { return f.pollRank() == 0 }
+
 // followDelay is the time after its start at which a node may begin to follow the
 // source. Until then it may take itself for the only node of its zone.
 const followDelay = 2 * time.Second
