--- a/mwlib/mwadmit/refuse_test.go
+++ b/mwlib/mwadmit/refuse_test.go
@@ -44,9 +44,9 @@
 	return c, ctx, cancel
 }
 
-// TestRandomCalls sends random calls, and at times refuses all queued ones. Each refusal must say that the call was
-// not run, no call may start after its deadline, and no call may be in flight
-// or queued at the end.
+// TestRandomCalls sends random calls, and at times refuses all queued ones. Each
+// refusal must say that the call was not run, no call may start after its deadline,
+// and no call may be in flight or queued at the end.
 func TestRandomCalls(t *testing.T) {
 	for _, name := range []mwregistry.Name{mwadmit.AdaptiveName, mwadmit.FixedName} {
 		t.Run(string(name), func(t *testing.T) {
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -261,15 +261,14 @@
 // calls in flight. It returns nil once the last call has completed, or an error
 // if ctx is done first.
 //
-// The listeners stay open for drainLinger, or a part of the time until the deadline of
-// ctx if that is shorter. In this time callers that do not
-// know of the drain yet are still served by other targets, and other nodes get
-// a refusal that states that their call did not run. Each answer asks the
-// caller to close its connection; closing idle connections at once would break
-// requests that are on their way. After that time no further request is
-// accepted, and one whose body is complete only then is refused, so that the drain
-// completes even if callers never stop. Only the admin and readiness listeners stay
-// open, until the Host is stopped.
+// The listeners stay open for drainLinger, or for a part of the time until the
+// deadline of ctx if that is shorter. In this time callers that do not know of the
+// drain yet are still served by other targets, and other nodes get a refusal that
+// states that their call did not run. Each answer asks the caller to close its
+// connection; closing idle connections at once would break requests that are on
+// their way. After that time no further request is accepted, and one whose body is
+// complete only then is refused, so that the drain completes even if callers never
+// stop. Only the admin and readiness listeners stay open, until the Host is stopped.
 func (h *Host) Drain(ctx context.Context) error {
 	h.log.Info("draining", "Node", h.kernel.Self().Node)
 	linger := mwtimer.NewTimer(lingerOf(ctx))
