--- a/mwlib/mwversion/fanout.go
+++ b/mwlib/mwversion/fanout.go
@@ -15,6 +15,7 @@
 
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwlog"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwpanic"
 	"mustardwheel.example/mwlib/mwstore"
@@ -39,7 +40,9 @@
 	stat   *stats
 	cur    atomic.Pointer[mwconfig.Snapshot]
 
-	started time.Time
+	started    time.Time
+	polls      atomic.Bool // the last result of isPoller
+	fetchLines *mwlog.Limiter
 
 	mu     sync.Mutex // serializes replacements; readers need only cur
 	recent []mwconfig.Change
@@ -84,7 +87,12 @@
 func New(m mwkernel.Membership, p mwkernel.Peers, opts ...Option) (*Fanout, func(), error) {
 	o := options{poll: DefaultPoll, log: slog.Default(), metrics: metrics.NewSet()}
 	mwoption.Apply(&o, opts...)
-	f := &Fanout{options: o, member: m, peers: p, stat: newStats(o.metrics), started: time.Now()}
+	f := &Fanout{options: o, member: m, peers: p, stat: newStats(o.metrics), started: time.Now(),
+		fetchLines: mwlog.NewLimiter(1)}
+	o.metrics.GetOrCreateGauge("mw_config_newest_version", func() float64 {
+		v, _ := m.Newest()
+		return float64(v)
+	})
 	if err := p.Handle(rpcName, &handler{f}); err != nil {
 		return nil, nil, err
 	}
--- a/mwlib/mwversion/fetch.go
+++ b/mwlib/mwversion/fetch.go
@@ -129,7 +129,11 @@
 	f.stat.countRead(fromPeer)
 	if err := f.peers.Call(ctx, addr, rpcName+".Fetch", &FetchRequest{Have: have}, &res); err != nil {
 		f.stat.countFailure(fromPeer)
-		f.log.Debug("failed to fetch configuration from peer", "Peer", addr, "Error", err)
+		if omitted, ok := f.fetchLines.Allow(time.Now()); ok {
+			newest, _ := f.member.Newest()
+			f.log.Warn("failed to fetch configuration from peer", "Peer", addr, "Error", err,
+				"InForce", have, "Newest", newest, "Omitted", omitted)
+		}
 		return false
 	}
 	return f.installReply(have, res) == nil && f.version() > have
--- a/mwlib/mwversion/poll.go
+++ b/mwlib/mwversion/poll.go
@@ -28,8 +28,18 @@
 // its availability zone.
 type ranker interface{ Rank(duty string) int }
 
-// isPoller reports whether this node polls the store.
-func (f *Fanout) isPoller() bool { return f.pollRank() < pollersPerZone }
+// isPoller reports whether this node polls the store or follows the Source. It logs
+// each change.
+func (f *Fanout) isPoller() bool {
+	rank := f.pollRank()
+	polls := rank < pollersPerZone
+	if f.polls.Swap(polls) != polls {
+		newest, _ := f.member.Newest()
+		f.log.Info("duty to read the configuration changed", "Reads", polls, "Rank", rank,
+			"InForce", f.version(), "Newest", newest)
+	}
+	return polls
+}
 
 // pollRank returns the rank of this node among those of its availability zone that
 // could poll the store. Without a membership that ranks nodes, it is 0.
