--- /dev/null
+++ b/mwlib/mwversion/apart_test.go
@@ -0,0 +1,153 @@
+package mwversion_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"mustardwheel.example/mwlib/mwcluster"
+	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmemnet"
+)
+
+// silencer models the connections between nodes: one from each node to each peer
+// that it calls. silence makes all open connections silent for good. A call that
+// times out closes its connection, which ends the other calls on it, and the next
+// call opens a new one.
+type silencer struct {
+	mu    sync.Mutex
+	conns map[pair]*conn
+}
+
+type pair struct{ from, to mwid.Address }
+
+type conn struct {
+	silent bool
+	closed chan struct{}
+}
+
+func newSilencer() *silencer { return &silencer{conns: make(map[pair]*conn)} }
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.silent = true
+	}
+}
+
+func (s *silencer) wrap(p mwkernel.Peers, at mwmemnet.Place) mwkernel.Peers {
+	return &silencedPeers{p, s, at.Address}
+}
+
+type silencedPeers struct {
+	mwkernel.Peers
+	s    *silencer
+	from mwid.Address
+}
+
+// conn returns the open connection to addr and whether it is silent.
+func (p *silencedPeers) conn(addr mwid.Address) (*conn, bool) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	k := pair{p.from, addr}
+	c := p.s.conns[k]
+	if c == nil {
+		c = &conn{closed: make(chan struct{})}
+		p.s.conns[k] = c
+	}
+	return c, c.silent
+}
+
+// drop closes c.
+func (p *silencedPeers) drop(addr mwid.Address, c *conn) {
+	p.s.mu.Lock()
+	defer p.s.mu.Unlock()
+	k := pair{p.from, addr}
+	if p.s.conns[k] == c {
+		delete(p.s.conns, k)
+		close(c.closed)
+	}
+}
+
+func (p *silencedPeers) Call(ctx context.Context, addr mwid.Address, method string, req, res any) error {
+	c, silent := p.conn(addr)
+	if silent {
+		select {
+		case <-ctx.Done():
+		case <-c.closed:
+		}
+		p.drop(addr, c)
+		return mwcode.New(mwcode.Unreachable, mwcode.Field(string(addr)))
+	}
+	err := p.Peers.Call(ctx, addr, method, req, res)
+	if ctx.Err() != nil {
+		p.drop(addr, c)
+	}
+	return err
+}
+
+// applyLimit is the time in which a change must be in force at every node that the
+// store can reach.
+const applyLimit = 3 * time.Second
+
+// nodesPerZone is the size of the zones of the tests in which nodes lose each other.
+const nodesPerZone = 15
+
+// TestChangeAfterConnectionsWentSilent guards against a change that nodes miss because
+// their connections to each other went silent a second before it.
+func TestChangeAfterConnectionsWentSilent(t *testing.T) {
+	const rounds = 5
+	s := newSilencer()
+	run(t, 6, nodesPerZone, func(cl *cluster) {
+		for i := range rounds {
+			advance(10 * time.Second)
+			s.silence()
+			advance(time.Second)
+			cl.waitForVersion(applyLimit, cl.apply("a", i), cl.Nodes())
+		}
+	}, mwcluster.WithPeersWrapper(s.wrap))
+}
+
+// TestChangeAtNodesWithoutPeers guards against a change that a node misses because it
+// can reach the store, but not the nodes that read it.
+func TestChangeAtNodesWithoutPeers(t *testing.T) {
+	tests := []struct {
+		name     string
+		nodes    int // nodes of a zone that lose the others
+		together bool
+	}{
+		{"one", 1, false},
+		{"three, each alone", 3, false},
+		{"three together", 3, true},
+		{"eight, each alone", 8, false},
+		{"eight together", 8, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			run(t, 6, nodesPerZone, func(cl *cluster) {
+				advance(10 * time.Second)
+				apart := set(test.nodes)
+				cl.Net.SetLoss(func(from, to mwmemnet.Place) bool {
+					if apart[from.Address] && apart[to.Address] {
+						return !test.together
+					}
+					return apart[from.Address] || apart[to.Address]
+				})
+				cl.waitForVersion(applyLimit, cl.apply("a", 1), cl.Nodes())
+			})
+		})
+	}
+}
+
+// set returns the addresses of the first n nodes of the second zone.
+func set(n int) map[mwid.Address]bool {
+	out := make(map[mwid.Address]bool)
+	for i := range n {
+		out[mwcluster.PlaceOf(1, i).Address] = true
+	}
+	return out
+}
