--- a/mwlib/mwmember/gossip.go
+++ b/mwlib/mwmember/gossip.go
@@ -68,6 +68,7 @@
 	summaries    *mwshard.Map[mwid.ZoneName, Summary]
 	versions     *mwshard.Map[mwid.NodeID, mwid.Version]
 	newest       newest
+	watch        watch
 	version      atomic.Uint64 // configuration version in force at this node
 	slowness     slowness
 	allowance    *allowance
--- a/mwlib/mwmember/message.go
+++ b/mwlib/mwmember/message.go
@@ -14,6 +14,7 @@
 	Version mwid.Version
 	Newest  mwid.Version
 	Holder  mwid.Address
+	Watch   Watch
 	// Digest covers the records and opinions of all live nodes in the table of
 	// From.
 	Digest   uint64
@@ -118,7 +119,7 @@
 
 // bytes returns the estimated size of m.
 func (m *Message) bytes() mwunit.Bytes {
-	n := headerBytes + textBytes(m.From) + textBytes(m.Holder) + 4*integerBytes
+	n := headerBytes + textBytes(m.From) + textBytes(m.Holder) + 4*integerBytes + watchBytes
 	n += updateBytes(m.Records, m.Opinions)
 	for _, r := range m.Reaches {
 		n += r.bytes()
@@ -129,6 +130,9 @@
 	return n + mwunit.Bytes(len(m.InForce.Bits)) + 3*integerBytes
 }
 
+// watchBytes is the size of a Watch of a node that reads because of its rank.
+const watchBytes = 2 * integerBytes
+
 func updateBytes(rs []Record, os []Opinion) mwunit.Bytes {
 	var n mwunit.Bytes
 	for _, r := range rs {
--- a/mwlib/mwmember/update.go
+++ b/mwlib/mwmember/update.go
@@ -254,7 +254,7 @@
 func (g *Gossip) header() Message {
 	m := Message{
 		From: g.self, Version: mwid.Version(g.version.Load()),
-		Digest: g.view.Load().digest,
+		Digest: g.view.Load().digest, Watch: g.watch.best(time.Now(), g.watchLimit()),
 	}
 	if v, a := g.newest.get(); v > m.Version {
 		m.Newest, m.Holder = v, a
@@ -285,6 +285,7 @@
 	inOwnZone := ok && from.Zone == g.zone
 	g.recordVersion(m.From, m.Version, inOwnZone)
 	g.recordNewest(m.Newest, m.Holder, false)
+	g.watch.receive(time.Now(), m.Watch, g.watchLimit())
 	if !inOwnZone {
 		return false
 	}
--- a/mwlib/mwversion/fanout.go
+++ b/mwlib/mwversion/fanout.go
@@ -40,9 +40,10 @@
 	stat   *stats
 	cur    atomic.Pointer[mwconfig.Snapshot]
 
-	started    time.Time
-	polls      atomic.Bool // the last result of isPoller
-	fetchLines *mwlog.Limiter
+	started     time.Time
+	lastDuty    atomic.Int32 // the last result of Duty
+	fetchFailed atomic.Bool  // whether the last fetch from another node failed
+	fetchLines  *mwlog.Limiter
 
 	mu     sync.Mutex // serializes replacements; readers need only cur
 	recent []mwconfig.Change
--- a/mwlib/mwversion/fetch.go
+++ b/mwlib/mwversion/fetch.go
@@ -97,12 +97,6 @@
 	}
 }
 
-// isBehind reports whether a higher version is known to be in force elsewhere.
-func (f *Fanout) isBehind() bool {
-	v, _ := f.member.Newest()
-	return v > f.version()
-}
-
 // catchUp fetches from the known holder and, if that fails, from other nodes.
 // If all fail, catchUp waits for fetchBackoff. It returns false once ctx is
 // done, and true otherwise.
@@ -127,7 +121,9 @@
 	have := f.version()
 	var res FetchReply
 	f.stat.countRead(fromPeer)
-	if err := f.peers.Call(ctx, addr, rpcName+".Fetch", &FetchRequest{Have: have}, &res); err != nil {
+	err := f.peers.Call(ctx, addr, rpcName+".Fetch", &FetchRequest{Have: have}, &res)
+	f.fetchFailed.Store(err != nil)
+	if err != nil {
 		f.stat.countFailure(fromPeer)
 		if omitted, ok := f.fetchLines.Allow(time.Now()); ok {
 			newest, _ := f.member.Newest()
--- a/mwlib/mwversion/poll.go
+++ b/mwlib/mwversion/poll.go
@@ -15,65 +15,31 @@
 
 // Parameters of polling the store.
 const (
-	pollDuty       = "poll"
-	pollersPerZone = 3
-	pollTimeout    = 2 * time.Second
-	pageRows       = 128
+	pollTimeout = 2 * time.Second
+	pageRows    = 128
 	// maxLogChanges is the number of missing versions above which the node
 	// first reads the snapshot object, and then only the rest of the log.
 	maxLogChanges = 256
 )
 
-// ranker is a membership that ranks this node for a duty among the nodes of
-// its availability zone.
-type ranker interface{ Rank(duty string) int }
-
-// isPoller reports whether this node polls the store or follows the Source. It logs
-// each change.
-func (f *Fanout) isPoller() bool {
-	rank := f.pollRank()
-	polls := rank < pollersPerZone
-	if f.polls.Swap(polls) != polls {
-		newest, _ := f.member.Newest()
-		f.log.Info("duty to read the configuration changed", "Reads", polls, "Rank", rank,
-			"InForce", f.version(), "Newest", newest)
-	}
-	return polls
-}
-
-// pollRank returns the rank of this node among those of its availability zone that
-// could poll the store. Without a membership that ranks nodes, it is 0.
-func (f *Fanout) pollRank() int {
-	if r, ok := f.member.(ranker); ok {
-		return r.Rank(pollDuty)
-	}
-	return 0
-}
-
-// pollLoop polls the store once per period while this node is one of the
-// pollers. The first poll comes after a random part of the period. By then,
-// nodes that start together know which of them are the pollers.
+// pollLoop polls the store once per period while this node has the duty to. The
+// first poll comes after a random part of the period. By then, nodes that start
+// together know which of them have it.
 func (f *Fanout) pollLoop(ctx context.Context) {
-	if !mwtimer.Sleep(ctx, rand.N(f.poll)+1) {
-		return
-	}
-	t := mwtimer.NewTicker(f.poll)
-	defer t.Stop()
-	for {
-		if f.isPoller() {
-			f.pollOnce(ctx)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
+	wait := rand.N(f.poll) + 1
+	for mwtimer.Sleep(ctx, wait) {
+		wait = min(f.poll, dutyCheckPeriod)
+		if d := f.Duty(); d != None {
+			start := time.Now()
+			f.pollOnce(ctx, d)
+			wait = f.poll - time.Since(start)
 		}
 	}
 }
 
 // pollOnce reads the version row and, if its version is higher than the one in
 // force, the changes up to that version.
-func (f *Fanout) pollOnce(ctx context.Context) {
+func (f *Fanout) pollOnce(ctx context.Context, d Duty) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	f.stat.countRead(fromStore)
@@ -91,6 +57,9 @@
 	if v > current {
 		f.readChanges(ctx, v, r)
 	}
+	if f.version() >= v {
+		f.Confirm(d, time.Now().Add(f.poll))
+	}
 }
 
 // logStaleRead counts and logs a stale read of the version row.
--- a/mwlib/mwversion/source.go
+++ b/mwlib/mwversion/source.go
@@ -24,14 +24,13 @@
 	Install(w mwconfig.Whole) error
 	// Version returns the version in force, or 0 if there is none.
 	Version() mwid.Version
-	// FollowsSource reports whether this node should follow the source now. A few
-	// nodes of each availability zone do; the others fetch new versions from their
-	// peers. No node does soon after its start, before it knows its peers.
-	FollowsSource() bool
-	// LeadsSource reports whether this node is the first of the nodes of its
-	// availability zone that follow the source. It alone has to notice soon that the
-	// source has stopped to respond, since the others learn of a change from it.
-	LeadsSource() bool
+	// Duty returns the duty of this node now. No node follows a Source soon after its
+	// start, before it knows its peers.
+	Duty() Duty
+	// Confirm tells other nodes that this node, with duty d, knows of each change of
+	// the source until the given time. A later call replaces that time, also by an
+	// earlier one.
+	Confirm(d Duty, until time.Time)
 }
 
 // Sources is the extension point for sources.
@@ -55,13 +54,3 @@
 
 // Version implements Installer.
 func (f *Fanout) Version() mwid.Version { return f.version() }
-
-// FollowsSource implements Installer.
-func (f *Fanout) FollowsSource() bool { return time.Since(f.started) >= followDelay && f.isPoller() }
-
-// LeadsSource implements Installer.
-func (f *Fanout) LeadsSource() bool { return f.pollRank() == 0 }
-
-// followDelay is the time after its start at which a node may begin to follow the
-// source. Until then it may take itself for the only node of its zone.
-const followDelay = 2 * time.Second
