--- a/mwlib/mwhttp/header.go
+++ b/mwlib/mwhttp/header.go
@@ -66,7 +66,7 @@
 	h := r.Header
 	c := &mwcall.Call{
 		Caller: mwid.CallerName(h.Get(HeaderCaller)), Service: serviceOf(r),
-		Method: r.Method, Path: r.URL.Path,
+		Method: r.Method, Path: PathOf(r.URL),
 		Key: mwid.CallKey(h.Get(HeaderKey)), First: h.Get(HeaderFirst) == trueValue,
 		Resubmitted: h.Get(HeaderResubmitted) == trueValue, Origin: o, Host: r.Host,
 	}
