--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -128,6 +128,7 @@
 		}
 		to.Set("Trailer", strings.Join(names, ", "))
 	}
+	a.e.keepBody()
 	a.e.w.WriteHeader(a.resp.StatusCode)
 }
 
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -25,7 +25,8 @@
 	r        *http.Request
 	c        *mwcall.Call
 	body     *body
-	fromPeer bool // whether another node sent the request
+	in       *limitedBody // the body as received
+	fromPeer bool         // whether another node sent the request
 
 	mu        sync.Mutex
 	committed bool // whether the head of the answer was sent or is about to be
@@ -163,11 +164,29 @@
 	return ok
 }
 
+// keepBody keeps net/http's server from reading the rest of a streamed request body
+// when the head of the answer is written. The next hop may answer early and still
+// read that body, whose bytes must all go there. The connection is closed after the
+// answer, since the server can't tell where a body ends that it did not read.
+func (e *exchange) keepBody() {
+	if !e.body.streamed() || e.in.atEnd() {
+		return
+	}
+	if err := http.NewResponseController(e.w).EnableFullDuplex(); err != nil {
+		e.abort = true // The rest of the body would be lost.
+		return
+	}
+	e.w.Header().Set("Connection", "close")
+}
+
 // Refuse answers with err.
 func (e *exchange) Refuse(err error, h mwcall.Head) {
 	if !e.commit() {
 		return
 	}
+	if e.body.readStarted.Load() {
+		e.keepBody()
+	}
 	h.Code = mwcode.CodeOf(err)
 	e.f.refuse(e.w, e.c, err, h, e.fromPeer)
 }
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -122,11 +121,12 @@
 		f.refuse(w, c, err, mwcall.Head{Code: mwcode.CodeOf(err)}, fromPeer)
 		return
 	}
-	e := &exchange{f: f, w: w, r: r, c: c, body: b, fromPeer: fromPeer}
+	e := &exchange{f: f, w: w, r: r, c: c, body: b, in: in, fromPeer: fromPeer}
 	f.k.Serve(r.Context(), c, e)
 	if e.abort {
 		panic(http.ErrAbortHandler)
 	}
+	in.stop()
 }
 
 // call returns the call of r. Requests from other nodes are decoded by decode,
@@ -194,27 +194,3 @@
 	}
 	f.dialect.Refuse(w, c, err, h)
 }
-
-// limitedBody is a request body. Reading from it fails if its sender sends
-// nothing for the duration idle, or more than maxBytes bytes. A maxBytes of 0
-// means no limit on the size.
-type limitedBody struct {
-	rc       *http.ResponseController
-	body     io.Reader
-	idle     time.Duration
-	maxBytes mwunit.Bytes
-	n        mwunit.Bytes // bytes read so far
-}
-
-// Read reads from the body with a deadline of idle.
-func (p *limitedBody) Read(b []byte) (int, error) {
-	p.rc.SetReadDeadline(time.Now().Add(p.idle))
-	n, err := p.body.Read(b)
-	if p.n += mwunit.Bytes(n); p.maxBytes > 0 && p.n > p.maxBytes {
-		err = bodyTooLarge(p.maxBytes)
-	}
-	if err != nil {
-		p.rc.SetReadDeadline(time.Time{})
-	}
-	return n, err
-}
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -156,6 +156,7 @@
 // stack is an entry node, and the node of one target with its backend server.
 type stack struct {
 	entry  *httptest.Server
+	direct *httptest.Server // entry listener of the target's node
 	peer   *httptest.Server
 	target *mwkernel.Kernel
 }
@@ -173,6 +174,7 @@
 	s.peer = serve(t, peer)
 	targetFront, k := newNodeAt(c, zone, address(s.peer))
 	peer.set(targetFront.Peer())
+	s.direct = serve(t, targetFront.Entry())
 	s.target = k
 	c.Assert(k.Announce(mwcall.Announcement{
 		Service: service, Address: address(b), Slots: 8, Connections: 8, TTL: mwkernel.MaxTTL,
