--- a/mwlib/mwversion/duty.go
+++ b/mwlib/mwversion/duty.go
@@ -87,8 +87,9 @@
 	// Source. Until then it may take itself for the only node of its zone.
 	dutyDelay = 2 * time.Second
 	// substituteDelay is the time after its start at which a node may become a
-	// Substitute. By then, nodes that start together have heard of their Leaders.
-	substituteDelay = 2 * dutyDelay
+	// Substitute. By then, most of the nodes that start together have heard of a
+	// Leader.
+	substituteDelay = 3500 * time.Millisecond
 )
 
 // ranker is a membership that ranks this node for a duty among the nodes of
