--- a/mwlib/mwversion/apart_test.go
+++ b/mwlib/mwversion/apart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwmemnet"
+	"mustardwheel.example/mwlib/mwstore"
 )
 
 // silencer models the connections between nodes: one from each node to each peer
@@ -143,6 +145,24 @@
 	}
 }
 
+// TestChangeWhileReadersAreTurnedAway guards against a change that all nodes miss
+// because the store serves no node whose duty it is to read it.
+func TestChangeWhileReadersAreTurnedAway(t *testing.T) {
+	// outerLimit is added to applyLimit while the store serves only some nodes.
+	const outerLimit = 6 * time.Second
+	away := make(map[mwid.Address]*atomic.Bool)
+	run(t, 6, nodesPerZone, func(cl *cluster) {
+		advance(10 * time.Second)
+		for _, n := range cl.Nodes() {
+			away[n.Place.Address].Store(n.Rank("poll") < 3)
+		}
+		cl.waitForVersion(applyLimit+outerLimit, cl.apply("a", 1), cl.Nodes())
+	}, mwcluster.WithStoreWrapper(func(s mwstore.Store, p mwmemnet.Place) mwstore.Store {
+		away[p.Address] = &atomic.Bool{}
+		return cutStore{s, away[p.Address]}
+	}))
+}
+
 // set returns the addresses of the first n nodes of the second zone.
 func set(n int) map[mwid.Address]bool {
 	out := make(map[mwid.Address]bool)
