--- a/mwlib/mwversion/duty.go
+++ b/mwlib/mwversion/duty.go
@@ -56,10 +56,10 @@
 		return None
 	case rank == 0:
 		return Leader
-	case rank < readersPerZone:
-		return Follower
 	case age >= substituteDelay && f.isOnItsOwn():
 		return Substitute
+	case rank < readersPerZone:
+		return Follower
 	}
 	return None
 }
