--- a/mwlib/mwmember/message.go
+++ b/mwlib/mwmember/message.go
@@ -14,7 +14,8 @@
 	Version mwid.Version
 	Newest  mwid.Version
 	Holder  mwid.Address
-	Watch   Watch
+	// Watch is the best report of a reader of the configuration's source.
+	Watch Watch
 	// Digest covers the records and opinions of all live nodes in the table of
 	// From.
 	Digest   uint64
--- a/mwlib/mwversion/apart_test.go
+++ b/mwlib/mwversion/apart_test.go
@@ -24,15 +24,19 @@
 	conns map[pair]*conn
 }
 
+// pair is a node and a peer that it calls.
 type pair struct{ from, to mwid.Address }
 
+// conn is one connection; calls on it end when it is closed.
 type conn struct {
 	silent bool
 	closed chan struct{}
 }
 
+// newSilencer returns a silencer without connections.
 func newSilencer() *silencer { return &silencer{conns: make(map[pair]*conn)} }
 
+// silence makes all open connections silent.
 func (s *silencer) silence() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -41,10 +45,12 @@
 	}
 }
 
+// wrap returns p, the network of the node at a place, over connections of s.
 func (s *silencer) wrap(p mwkernel.Peers, at mwmemnet.Place) mwkernel.Peers {
 	return &silencedPeers{p, s, at.Address}
 }
 
+// silencedPeers is the network of one node.
 type silencedPeers struct {
 	mwkernel.Peers
 	s    *silencer
@@ -75,6 +81,7 @@
 	}
 }
 
+// Call calls method at addr over the connection to it.
 func (p *silencedPeers) Call(ctx context.Context, addr mwid.Address, method string, req, res any) error {
 	c, silent := p.conn(addr)
 	if silent {
@@ -132,7 +139,7 @@
 		t.Run(test.name, func(t *testing.T) {
 			run(t, 6, nodesPerZone, func(cl *cluster) {
 				advance(10 * time.Second)
-				apart := set(test.nodes)
+				apart := firstNodes(test.nodes)
 				cl.Net.SetLoss(func(from, to mwmemnet.Place) bool {
 					if apart[from.Address] && apart[to.Address] {
 						return !test.together
@@ -163,8 +170,8 @@
 	}))
 }
 
-// set returns the addresses of the first n nodes of the second zone.
-func set(n int) map[mwid.Address]bool {
+// firstNodes returns the addresses of the first n nodes of the second zone.
+func firstNodes(n int) map[mwid.Address]bool {
 	out := make(map[mwid.Address]bool)
 	for i := range n {
 		out[mwcluster.PlaceOf(1, i).Address] = true
--- a/mwlib/mwversion/duty.go
+++ b/mwlib/mwversion/duty.go
@@ -27,9 +27,21 @@
 // String returns the name of d.
 func (d Duty) String() string { return dutyNames[d] }
 
-// dutyCheckPeriod is the time between two checks of a node without a duty whether it
-// has one now.
-const dutyCheckPeriod = 250 * time.Millisecond
+// Duties of reading the source.
+const (
+	readDuty       = "poll" // duty for which nodes are ranked
+	readersPerZone = 3
+	// dutyDelay is the time after its start at which a node may begin to follow a
+	// Source. Until then it may take itself for the only node of its zone.
+	dutyDelay = 2 * time.Second
+	// substituteDelay is the time after its start at which a node may become a
+	// Substitute. By then, most of the nodes that start together have heard of a
+	// Leader.
+	substituteDelay = 3500 * time.Millisecond
+	// dutyCheckPeriod is the time between two checks of a node without a duty
+	// whether it has one now.
+	dutyCheckPeriod = 250 * time.Millisecond
+)
 
 // watcher is a membership that tells nodes whether another node reads the source.
 type watcher interface {
@@ -79,19 +91,6 @@
 	}
 }
 
-// Reading of the source.
-const (
-	readDuty       = "poll" // duty for which nodes are ranked
-	readersPerZone = 3
-	// dutyDelay is the time after its start at which a node may begin to follow a
-	// Source. Until then it may take itself for the only node of its zone.
-	dutyDelay = 2 * time.Second
-	// substituteDelay is the time after its start at which a node may become a
-	// Substitute. By then, most of the nodes that start together have heard of a
-	// Leader.
-	substituteDelay = 3500 * time.Millisecond
-)
-
 // ranker is a membership that ranks this node for a duty among the nodes of
 // its availability zone.
 type ranker interface{ Rank(duty string) int }
