--- a/mwlib/mwhttp/cut_test.go
+++ b/mwlib/mwhttp/cut_test.go
@@ -10,10 +10,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
-	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwkernel"
 )
 
 // A backend server that stops in the head of an answer and closes must not become a
@@ -40,10 +37,7 @@
 				io.Copy(io.Discard, r.Body)
 				io.WriteString(conn, test.head[:n.Load()])
 			})
-			c.Assert(s.target.Announce(mwcall.Announcement{
-				Service: service, Address: mwid.Address(ln.Addr().String()),
-				Slots: 1, Connections: 1, TTL: mwkernel.MaxTTL,
-			}), qt.IsNil)
+			s.announce(c, ln, 1)
 			for i := range len(test.head) + 1 {
 				n.Store(int32(i))
 				resp, body := do(c, s.request(c, "POST", "/", nil))
--- a/mwlib/mwhttp/early_test.go
+++ b/mwlib/mwhttp/early_test.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"bytes"
-	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,10 +11,7 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwhttp"
-	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwkernel"
 )
 
 // A backend server answers before it has read a long body, and reads on. It must get
@@ -26,6 +22,7 @@
 	for i := range len(body) / 8 {
 		copy(body[8*i:], fmt.Sprintf("%07d\n", i))
 	}
+	answer := bytes.Repeat([]byte("a"), 200<<10)
 	tests := []struct {
 		name   string
 		direct bool // whether the request enters at the target's node
@@ -44,28 +41,20 @@
 				if err != nil {
 					return
 				}
-				answer := bytes.Repeat([]byte("a"), 200<<10)
 				fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(answer), answer)
 				got, _ := io.ReadAll(r.Body)
 				read <- got
 			})
-			c.Assert(s.target.Announce(mwcall.Announcement{
-				Service: service, Address: mwid.Address(ln.Addr().String()),
-				Slots: 1, Connections: 1, TTL: mwkernel.MaxTTL,
-			}), qt.IsNil)
+			s.announce(c, ln, 1)
 			// The reader hides the length of the body, so that it is sent in chunks.
 			r := s.request(c, "POST", "/", io.MultiReader(bytes.NewReader(body)))
 			if test.direct {
 				r.URL.Host = s.direct.Listener.Addr().String()
 			}
 			r.Header.Set(mwhttp.HeaderTimeout, longTimeout)
-			ctx, cancel := context.WithCancel(t.Context())
-			defer cancel()
-			if resp, err := http.DefaultClient.Do(r.WithContext(ctx)); err == nil {
-				c.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%v", resp.Header))
-				io.Copy(io.Discard, resp.Body)
-				resp.Body.Close()
-			}
+			resp, text := do(c, r)
+			c.Check(resp.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%v", resp.Header))
+			c.Check(text == string(answer), qt.IsTrue, qt.Commentf("%d bytes", len(text)))
 			got := <-read
 			c.Check(bytes.HasPrefix(body, got), qt.IsTrue, qt.Commentf("%d bytes", len(got)))
 		})
--- a/mwlib/mwhttp/endless_test.go
+++ b/mwlib/mwhttp/endless_test.go
@@ -13,11 +13,8 @@
 
 	qt "github.com/frankban/quicktest"
 
-	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwhttp"
-	"mustardwheel.example/mwlib/mwid"
-	"mustardwheel.example/mwlib/mwkernel"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -47,11 +44,7 @@
 
 // announceEndless makes b the backend server of the stack's target.
 func announceEndless(c *qt.C, s *stack, b *endlessServer, slots mwunit.Slots) {
-	ln := accept(c, b.serve)
-	c.Assert(s.target.Announce(mwcall.Announcement{
-		Service: service, Address: mwid.Address(ln.Addr().String()),
-		Slots: slots, Connections: mwunit.Connections(slots), TTL: mwkernel.MaxTTL,
-	}), qt.IsNil)
+	s.announce(c, accept(c, b.serve), slots)
 }
 
 // longTimeout is the time limit of calls that must end long before it.
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -25,6 +26,7 @@
 	_ "mustardwheel.example/mwlib/mwretry"
 	_ "mustardwheel.example/mwlib/mwroute"
 	"mustardwheel.example/mwlib/mwsetting"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // service is the service that the tests call.
@@ -182,6 +184,15 @@
 	return s
 }
 
+// announce makes the server that listens on ln the backend server of the target, with
+// one connection for each slot.
+func (s *stack) announce(c *qt.C, ln net.Listener, slots mwunit.Slots) {
+	c.Assert(s.target.Announce(mwcall.Announcement{
+		Service: service, Address: mwid.Address(ln.Addr().String()),
+		Slots: slots, Connections: mwunit.Connections(slots), TTL: mwkernel.MaxTTL,
+	}), qt.IsNil)
+}
+
 // newZone creates the cluster of one test and returns its availability zone.
 func newZone(t testing.TB) mwid.ZoneName {
 	c := qt.New(t)
--- a/mwlib/mwversion/duty.go
+++ b/mwlib/mwversion/duty.go
@@ -38,11 +38,11 @@
 	// Substitute. By then, most of the nodes that start together have heard of a
 	// Leader.
 	substituteDelay = 3500 * time.Millisecond
-	// dutyCheckPeriod is the time between two checks of a node without a duty
-	// whether it has one now.
-	dutyCheckPeriod = 250 * time.Millisecond
 )
 
+// DutyCheckPeriod is the time between two checks whether a node has another duty now.
+const DutyCheckPeriod = 250 * time.Millisecond
+
 // watcher is a membership that tells nodes whether another node reads the source.
 type watcher interface {
 	WatchSource(until time.Time, substitute bool)
--- a/mwlib/mwversion/poll.go
+++ b/mwlib/mwversion/poll.go
@@ -28,7 +28,7 @@
 func (f *Fanout) pollLoop(ctx context.Context) {
 	wait := rand.N(f.poll) + 1
 	for mwtimer.Sleep(ctx, wait) {
-		wait = min(f.poll, dutyCheckPeriod)
+		wait = min(f.poll, DutyCheckPeriod)
 		if d := f.Duty(); d != None {
 			start := time.Now()
 			f.pollOnce(ctx, d)
