--- a/review/standin-2/target.go
+++ b/review/standin-2/target.go
@@ -30,6 +30,9 @@
 	// body returns the body of the answer to a request; nil for a short one.
 	body func(r *http.Request) []byte
 	work time.Duration
+	// pause is how long the target waits before it reads a body.
+	pause time.Duration
+	begun []string // ids of the requests that the target began to work on
 }
 
 // run is one request that the target worked on.
@@ -91,7 +94,14 @@
 	}
 	record("target %s: runs %s%s (Timeout-Ms %s, Caller-Service %s)", t.id, id, state,
 		r.Header.Get("Timeout-Ms"), r.Header.Get("Caller-Service"))
-	io.Copy(io.Discard, r.Body)
+	t.mu.Lock()
+	t.begun = append(t.begun, id)
+	t.mu.Unlock()
+	time.Sleep(t.pause)
+	if n, err := io.Copy(io.Discard, r.Body); err != nil {
+		record("target %s: the body of %s breaks off after %d bytes: %v", t.id, id, n, err)
+		return
+	}
 	time.Sleep(t.work)
 	body := []byte("answer to " + id + "\n")
 	if t.body != nil {
@@ -120,6 +130,13 @@
 	return append([]run(nil), t.runs...)
 }
 
+// started returns the ids of the requests that the target began to work on.
+func (t *target) started() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]string(nil), t.begun...)
+}
+
 // report returns the liveness report with all the fields that the pages name.
 func (t *target) report(state string) map[string]any {
 	return map[string]any{
