--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -21,12 +21,13 @@
 	ready, control              string
 	admin                       string
 	store                       string
+	grace                       string // grace-s
 }
 
 // newPlace returns a place with free loopback ports.
 func newPlace(name, zone, region, service, store string) place {
 	a := freeAddrs(5)
-	return place{name, zone, region, service, a[0], a[1], a[2], a[3], a[4], store}
+	return place{name, zone, region, service, a[0], a[1], a[2], a[3], a[4], store, "6"}
 }
 
 // fields returns the fields with which the platform fills in the template.
@@ -37,7 +38,7 @@
 		"listen-addrs.outbound": p.outbound, "listen-addrs.inbound": p.inbound,
 		"listen-addrs.ready": p.ready, "listen-addrs.control": p.control,
 		"ip": ip, "port-range.0": port, "bootstrap": "", "platform.address": p.store,
-		"bounds.grace-s": "6", "bounds.budget-window-s": "10", "bounds.retry-budget-ratio": "0.2",
+		"bounds.grace-s": p.grace, "bounds.budget-window-s": "10", "bounds.retry-budget-ratio": "0.2",
 	}
 }
 
