--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -175,14 +176,25 @@
 	return resp.StatusCode == http.StatusOK
 }
 
+// Range of the ports of nodes. It is below the ports that the kernel gives to
+// outgoing connections, so that none of those takes the port of a node that is being
+// started.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+)
+
 // freeAddrs returns n free loopback addresses.
 func freeAddrs(n int) []string {
 	var out []string
 	var lns []net.Listener
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+	for range 100 * n {
+		if len(out) == n {
+			break
+		}
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort)))
 		if err != nil {
-			cannotRun("port: %v", err)
+			continue
 		}
 		lns = append(lns, ln)
 		out = append(out, ln.Addr().String())
@@ -190,6 +202,9 @@
 	for _, ln := range lns {
 		ln.Close()
 	}
+	if len(out) < n {
+		cannotRun("no free ports")
+	}
 	return out
 }
 
