--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,8 +6,11 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"runtime"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -63,6 +66,12 @@
 	if scratch, err = os.MkdirTemp("", "standin2-"); err != nil {
 		cannotRun("folder: %v", err)
 	}
+	// A node ends with the thread that started it, which must not be one that the
+	// runtime ends.
+	runtime.LockOSThread()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go func() { cannotRun("%v", <-stop) }()
 	time.AfterFunc(maxTime, func() { cannotRun("no result after %v", maxTime) })
 	record("case %s, trouble %v", os.Args[1], trouble)
 	broken := f()
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -163,6 +163,8 @@
 			return
 		}
 	}
+	log, _ := os.ReadFile(filepath.Join(n.dir, n.name+".log"))
+	record("log of node %s:\n%s", n.name, log)
 	cannotRun("node %s is not ready", n.name)
 }
 
