mwhttp, mwhost: serve heads of short lines that are within the limit

Cause: the size of a head was computed from the parsed header with a space after each colon and with carriage returns, which the sender may leave out. A node also forwards a head in that longer form, so that a head within the limit of the entry node exceeded the same limit of the peer listener.

Change: the limit of the configuration applies to the least size that the head can have had, so that a legal head is never refused. The peer listener accepts twice the size and 4 KiB for the headers of nodes.

Evidence: without the change, TestHeadAtTheLimit (platform) got 431 for lines of three and of four bytes, and a trial of TestLargeHeads (mwnode) got 431 for 60 KB of lines "a:"; both pass with it. A head of twice the limit is still refused.

--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -197,6 +197,22 @@
 	h.start(h.admin, mwadmin.NewHandler(h.kernel, h.metrics, h.requestDrain, h.set.Listen.Pprof))
 }
 
+// A node forwards a head with names and line ends in their usual form, which takes up
+// to two thirds more than a head of the shortest lines, and adds headers of its own.
+const (
+	forwardedHeadFactor = 2
+	addedHeadBytes      = 4 << 10
+)
+
+// maxHeadBytes returns the maximum size of a head that arrives on l.
+func (h *Host) maxHeadBytes(l *listener) int {
+	n := int(h.set.Relay.HeaderBytes)
+	if l == h.peer {
+		return forwardedHeadFactor*n + addedHeadBytes
+	}
+	return n
+}
+
 // start starts a server on l, unless l is nil.
 func (h *Host) start(l *listener, handler http.Handler) {
 	if l == nil {
@@ -204,7 +220,7 @@
 	}
 	l.server = &http.Server{
 		Handler: h.containPanics(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: int(h.set.Relay.HeaderBytes), ConnState: mwconn.ConnState,
+		MaxHeaderBytes: h.maxHeadBytes(l), ConnState: mwconn.ConnState,
 		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
 	h.group.Go(func() error {
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -167,14 +167,17 @@
 	return mwcode.New(mwcode.BodyTooLarge, mwcode.Expected(fmt.Sprintf("at most %d bytes", limit)))
 }
 
-// Sizes in bytes of the fixed parts of a request's header.
+// Sizes in bytes of the fixed parts of a request's header. A header may be sent
+// without carriage returns, and without a space after the colons.
 const (
-	requestLineBytes = len("  HTTP/1.1\r\n")
-	headerLineBytes  = len(": \r\n")
-	hostLineBytes    = len("Host: \r\n")
+	requestLineBytes = len("  HTTP/1.1\n")
+	headerLineBytes  = len(":\n")
+	hostLineBytes    = len("Host:\n")
 )
 
-// headerSize returns the size in bytes of r's header as received.
+// headerSize returns the least size in bytes with which r's header can have been
+// sent. The parsed header does not show the actual one, and a header that is within
+// the limit must not be refused.
 func headerSize(r *http.Request) mwunit.Bytes {
 	n := requestLineBytes + len(r.Method) + len(r.RequestURI) + hostLineBytes + len(r.Host)
 	for k, vs := range r.Header {
