mwmemory, mwconn, mwhost: bound the memory of the heads of all connections

Callers saw: a process that ran out of memory ended, and with it all calls at its node. Legal requests of many short header lines are enough, as are heads that do not end.

Cause: a head of short lines takes 15 to 40 times its size in the maps of the received and of the forwarded headers. The size of one head is limited, the sum over the connections was not. The soft limit of the garbage collector frees nothing that is in use.

Change: each connection has an account. The connection that holds the most is ended with a 503, or closed if it had sent nothing; one whose call is in progress is never ended. Ordinary heads stay within 16 KiB and do not depend on the budget, and a single large request may exceed it.

check.sh runs the tests of crowds one at a time, after all others.

--- a/check.sh
+++ b/check.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Checks the whole workspace: format, vet, staticcheck, build, and all tests
-# with the race detector. Tests named in KNOWN-RED.txt are skipped, and the file
+# with the race detector, those of crowds apart. Tests named in KNOWN-RED.txt are skipped, and the file
 # is printed. The script prints one line per step and exits with 0 if all pass.
 set -euo pipefail
 cd "$(dirname "$0")"
@@ -13,6 +13,10 @@
 	sed -n 's/^Test: *//p' KNOWN-RED.txt | paste -sd'|' -
 }
 
+# crowds matches the tests that start processes with little memory under many
+# connections. They run one at a time, after all others.
+crowds='^TestCrowd'
+
 step() { printf '== %s\n' "$*"; }
 
 step gofmt
@@ -35,5 +39,7 @@
 	cat KNOWN-RED.txt
 fi
 step test
-go test -race -timeout 8m ${red:+-skip "$red"} "${packages[@]}"
+go test -race -timeout 8m -skip "$crowds${red:+|$red}" "${packages[@]}"
+step crowds
+go test -race -timeout 8m -p 1 -parallel 1 -run "$crowds" ${red:+-skip "$red"} ./mwnode
 step ok
--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -70,6 +70,8 @@
 	// BackendFull means that the backend server itself reported that it did not
 	// run the call.
 	BackendFull Code = 1022
+	// MemoryFull means that the node holds too much for other requests.
+	MemoryFull Code = 1023
 )
 
 // Codes of unknown outcomes: the call may have run.
--- a/mwlib/mwcode/table.go
+++ b/mwlib/mwcode/table.go
@@ -36,6 +36,7 @@
 	NoRoute:            {NoRoute, "NoRoute", "no route of the configuration matches; did not run"},
 	BodyTooLarge:       {BodyTooLarge, "BodyTooLarge", "the body exceeds the limit for callers; did not run"},
 	BackendFull:        {BackendFull, "BackendFull", "the backend server itself refused; did not run"},
+	MemoryFull:         {MemoryFull, "MemoryFull", "the node holds too much for other requests; did not run"},
 	HeaderTooLarge:     {HeaderTooLarge, "HeaderTooLarge", "the header exceeds the limit for callers; did not run"},
 	ConnectionLost:     {ConnectionLost, "ConnectionLost", "the connection broke after the first byte; may have run"},
 	Silent:             {Silent, "Silent", "no answer in time; may have run"},
--- a/mwlib/mwconn/conn_test.go
+++ b/mwlib/mwconn/conn_test.go
@@ -33,16 +33,18 @@
 	r.limits.Store(&l)
 	p := mwmemnet.NewListener()
 	srv := &http.Server{
-		ReadHeaderTimeout: serverHeader, IdleTimeout: serverIdle, ConnState: mwconn.ConnState,
+		ReadHeaderTimeout: serverHeader, IdleTimeout: serverIdle,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			time.Sleep(time.Minute) // Longer than all limits under test.
 			io.Copy(w, r.Body)
 		}),
 	}
+	ln := mwconn.NewListener(p, mwconn.WithLimits(func() mwconn.Limits { return *r.limits.Load() }))
+	ln.Attach(srv)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		srv.Serve(mwconn.NewListener(p, func() mwconn.Limits { return *r.limits.Load() }))
+		srv.Serve(ln)
 	}()
 	c.Cleanup(func() { srv.Close(); <-done })
 	var err error
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -17,11 +17,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"mustardwheel.example/mwlib/mwadmin"
+	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcert"
 	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwhttp"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwrpc"
 	"mustardwheel.example/mwlib/mwsetting"
@@ -158,11 +160,6 @@
 		*x.to = &listener{Listener: ln}
 		*x.addr = (*x.to).addr()
 	}
-	for _, l := range []*listener{h.entry, h.local} {
-		if l != nil {
-			l.Listener = mwconn.NewListener(l.Listener, h.callerLimits)
-		}
-	}
 	return h.enableTLS()
 }
 
@@ -181,20 +178,29 @@
 
 // serve starts the servers on all open listeners.
 func (h *Host) serve(d mwhttp.Dialect) {
+	b := mwmemory.NewBudget(heldMemory(&h.set))
+	h.exportMemory(b)
+	callers := func(o mwcall.Origin) []mwconn.Option {
+		return []mwconn.Option{
+			mwconn.WithBudget(b), mwconn.WithLimits(h.callerLimits),
+			mwconn.WithRefusal(h.front.Refusal(o)), mwconn.WithLog(h.log),
+		}
+	}
+	operators := []mwconn.Option{mwconn.WithBudget(b), mwconn.WithLog(h.log)}
 	peer := h.closeWhileDraining(h.front.Peer())
-	h.start(h.entry, h.closeWhileDraining(h.front.Entry()))
-	h.start(h.local, h.front.Local())
+	h.start(h.entry, h.closeWhileDraining(h.front.Entry()), callers(mwcall.Entry)...)
+	h.start(h.local, h.front.Local(), callers(mwcall.Local)...)
 	control := d.Control(h.kernel)
-	h.start(h.control, control)
-	h.start(h.ready, control)
+	h.start(h.control, control, operators...)
+	h.start(h.ready, control, operators...)
 	h.start(h.peer, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodConnect {
 			h.peers.ServeHTTP(w, r)
 			return
 		}
 		peer.ServeHTTP(w, r)
-	}))
-	h.start(h.admin, mwadmin.NewHandler(h.kernel, h.metrics, h.requestDrain, h.set.Listen.Pprof))
+	}), mwconn.WithBudget(b), mwconn.WithRefusal(h.front.Refusal(mwcall.Peer)), mwconn.WithLog(h.log))
+	h.start(h.admin, mwadmin.NewHandler(h.kernel, h.metrics, h.requestDrain, h.set.Listen.Pprof), operators...)
 }
 
 // A node forwards a head with names and line ends in their usual form, which takes up
@@ -213,16 +219,19 @@
 	return n
 }
 
-// start starts a server on l, unless l is nil.
-func (h *Host) start(l *listener, handler http.Handler) {
+// start starts a server on l, unless l is nil. The options limit its connections.
+func (h *Host) start(l *listener, handler http.Handler, opts ...mwconn.Option) {
 	if l == nil {
 		return
 	}
 	l.server = &http.Server{
 		Handler: h.containPanics(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: h.maxHeadBytes(l), ConnState: mwconn.ConnState,
-		ErrorLog: slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
+		MaxHeaderBytes: h.maxHeadBytes(l),
+		ErrorLog:       slog.NewLogLogger(h.log.Handler(), slog.LevelDebug),
 	}
+	limited := mwconn.NewListener(l.Listener, opts...)
+	limited.Attach(l.server)
+	l.Listener = limited
 	h.group.Go(func() error {
 		if err := l.server.Serve(l.Listener); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("mwhost: serving: %w", err)
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -1,6 +1,7 @@
 package mwhttp
 
 import (
+	"errors"
 	"fmt"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwconfig"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwoption"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwtimer"
@@ -110,15 +112,16 @@
 	}
 	// r.Body itself is not replaced: net/http's server inspects its type to
 	// find out whether the sender still waits for 100 Continue.
+	memory := mwmemory.FromContext(r.Context())
 	in := &limitedBody{
 		rc: http.NewResponseController(w), body: r.Body, idle: f.idle, maxBytes: limits.BodyBytes,
+		memory: memory, trailer: func() http.Header { return r.Trailer },
 	}
-	b, err := newBody(in, r.ContentLength, f.buffer)
+	b, err := f.receiveBody(in, r.ContentLength, memory)
 	if err != nil {
-		if mwcode.CodeOf(err) != mwcode.BodyTooLarge {
-			err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
-		}
-		f.refuse(w, c, err, mwcall.Head{Code: mwcode.CodeOf(err)}, fromPeer)
+		h := bodyRefusalHead(c, err)
+		f.logBodyRefusal(c, h.Code)
+		f.refuse(w, c, err, h, fromPeer)
 		return
 	}
 	e := &exchange{f: f, w: w, r: r, c: c, body: b, in: in, fromPeer: fromPeer}
@@ -129,6 +132,49 @@
 	in.stop()
 }
 
+// receiveBody returns the body that is read from in. Until it is complete, nothing
+// has run, so the connection may be evicted.
+func (f *Front) receiveBody(in *limitedBody, length int64, memory *mwmemory.Account) (*body, error) {
+	memory.Unpin()
+	b, err := newBody(in, length, f.buffer)
+	if !memory.Pin() || errors.Is(err, mwmemory.ErrFull) {
+		return nil, mwcode.New(mwcode.MemoryFull, mwcode.Wrap(mwmemory.ErrFull))
+	}
+	if err != nil && mwcode.CodeOf(err) != mwcode.BodyTooLarge {
+		err = mwcode.New(mwcode.CallerGone, mwcode.Wrap(err))
+	}
+	return b, err
+}
+
+// memoryRetryAfter is how long a caller should wait that was refused for lack of
+// memory. Silent connections hold theirs for seconds.
+const memoryRetryAfter = time.Second
+
+// bodyRefusalHead returns the head of the refusal of c, whose body was not received
+// because of err.
+func bodyRefusalHead(c *mwcall.Call, err error) mwcall.Head {
+	h := mwcall.Head{Code: mwcode.CodeOf(err)}
+	if h.Code == mwcode.MemoryFull {
+		h.Unused, h.RetryElsewhere, h.RetryAfter = c.Budget, true, memoryRetryAfter
+	}
+	return h
+}
+
+// logBodyRefusal logs that c was refused while its body was received.
+func (f *Front) logBodyRefusal(c *mwcall.Call, code mwcode.Code) {
+	f.k.Log().Info("call refused", "ID", c.ID, "Root", c.Root, "Service", c.Service,
+		"Code", int(code), "Reason", code.String())
+}
+
+// Refusal returns a handler that refuses requests with origin o for lack of memory.
+// It does not use the request.
+func (f *Front) Refusal(o mwcall.Origin) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		h := mwcall.Head{Code: mwcode.MemoryFull, RetryElsewhere: true, RetryAfter: memoryRetryAfter}
+		f.refuse(w, nil, mwcode.New(mwcode.MemoryFull), h, o == mwcall.Peer)
+	})
+}
+
 // call returns the call of r. Requests from other nodes are decoded by decode,
 // all others by the dialect.
 func (f *Front) call(r *http.Request, o mwcall.Origin) (*mwcall.Call, error) {
--- a/mwlib/mwhttp/limited.go
+++ b/mwlib/mwhttp/limited.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"time"
 
+	"mustardwheel.example/mwlib/mwconn"
+	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -22,13 +24,15 @@
 )
 
 // limitedBody is a request body. Reading from it fails if its sender sends
-// nothing for the duration idle, or more than maxBytes bytes. A maxBytes of 0
-// means no limit on the size.
+// nothing for the duration idle, or more than maxBytes bytes, or if there is no
+// memory for its trailers. A maxBytes of 0 means no limit on the size.
 type limitedBody struct {
 	rc       *http.ResponseController
 	body     io.Reader
 	idle     time.Duration
 	maxBytes mwunit.Bytes
+	memory   *mwmemory.Account
+	trailer  func() http.Header // trailer returns the trailers, once the end was reached.
 
 	stopped atomic.Bool
 	mu      sync.Mutex   // held while reading
@@ -55,9 +59,26 @@
 		p.whole = errors.Is(err, io.EOF)
 		p.rc.SetReadDeadline(time.Time{})
 	}
+	if p.whole {
+		if cerr := p.memory.Charge(trailerMemory(p.trailer())); cerr != nil {
+			err = cerr
+		}
+	}
 	return n, err
 }
 
+// trailerMemory returns the memory of the trailers h and of their copies.
+func trailerMemory(h http.Header) mwunit.Bytes {
+	n, lines := 0, 0
+	for k, vs := range h {
+		for _, v := range vs {
+			n += len(k) + len(v)
+			lines++
+		}
+	}
+	return mwconn.HeadMemory(n, lines)
+}
+
 // atEnd reports whether the whole body was read.
 func (p *limitedBody) atEnd() bool {
 	if !p.mu.TryLock() {
--- /dev/null
+++ b/mwlib/mwhttp/memory_test.go
@@ -0,0 +1,111 @@
+package mwhttp_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwhttp"
+	"mustardwheel.example/mwlib/mwmemory"
+)
+
+// usedUp returns a budget that is used up by a request in progress.
+func usedUp(c *qt.C) *mwmemory.Budget {
+	b := mwmemory.NewBudget(1)
+	a := b.Open(func() {})
+	c.Assert(a.Charge(mwmemory.Allowance+1), qt.IsNil)
+	c.Assert(a.Pin(), qt.IsTrue)
+	return b
+}
+
+// serveWith serves a request with h on a connection with the account a.
+func serveWith(a *mwmemory.Account, h http.Handler, body io.Reader) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(http.MethodPost, "/orders", body)
+	r.Header.Set(mwhttp.HeaderService, string(service))
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r.WithContext(mwmemory.NewContext(r.Context(), a)))
+	return w
+}
+
+// Trailers count when the end of the body was read. Without memory for them the
+// request is refused as not run.
+func TestTrailersWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int64
+	s := newStack(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	trailer := make(http.Header)
+	for i := range 500 {
+		trailer.Set(fmt.Sprintf("%04x", i), "")
+	}
+	for _, x := range []struct {
+		budget *mwmemory.Budget
+		want   int
+	}{{mwmemory.NewBudget(0), http.StatusOK}, {usedUp(c), http.StatusServiceUnavailable}} {
+		r := httptest.NewRequest(http.MethodPost, "/orders", io.MultiReader(strings.NewReader("body")))
+		r.Header.Set(mwhttp.HeaderService, string(service))
+		r.Trailer = trailer
+		w := httptest.NewRecorder()
+		a := x.budget.Open(func() {})
+		s.entry.Config.Handler.ServeHTTP(w, r.WithContext(mwmemory.NewContext(t.Context(), a)))
+		c.Check(w.Code, qt.Equals, x.want)
+	}
+	c.Check(ran.Load(), qt.Equals, int64(1))
+}
+
+// evictingBody is a request body during which its connection is evicted.
+type evictingBody struct {
+	a    *mwmemory.Account
+	sent bool
+}
+
+func (b *evictingBody) Read(p []byte) (int, error) {
+	if b.sent {
+		return 0, io.EOF
+	}
+	b.sent = true
+	b.a.Evict()
+	return copy(p, "body"), nil
+}
+
+func TestEvictedWhileReadingTheBody(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int64
+	s := newStack(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	a := mwmemory.NewBudget(0).Open(func() {})
+	w := serveWith(a, s.entry.Config.Handler, &evictingBody{a: a})
+	c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
+	c.Check(w.Header().Get(mwhttp.HeaderOutcome), qt.Equals, "NotRun")
+	c.Check(ran.Load(), qt.Equals, int64(0))
+}
+
+// A call in progress must not be evicted.
+func TestCallInProgressIsPinned(t *testing.T) {
+	c := qt.New(t)
+	a := mwmemory.NewBudget(0).Open(func() {})
+	s := newStack(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c.Check(a.Evict(), qt.IsFalse)
+	}))
+	w := serveWith(a, s.entry.Config.Handler, strings.NewReader("body"))
+	c.Check(w.Code, qt.Equals, http.StatusOK)
+}
+
+// The refusal of a request without a head must say that nothing has run, to callers
+// and to other nodes.
+func TestRefusalWithoutARequest(t *testing.T) {
+	c := qt.New(t)
+	front, _ := newNode(c, newZone(t))
+	for _, o := range []mwcall.Origin{mwcall.Entry, mwcall.Local, mwcall.Peer} {
+		w := httptest.NewRecorder()
+		front.Refusal(o).ServeHTTP(w, nil)
+		c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(w.Header().Get(mwhttp.HeaderOutcome), qt.Equals, "NotRun")
+		c.Check(w.Header().Get(mwhttp.HeaderWait) != "", qt.Equals, o == mwcall.Peer)
+	}
+}
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -19,6 +19,7 @@
 	_ "mustardwheel.example/mwlib/mwclass"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwconfig"
+	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwhttp"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
@@ -206,7 +207,11 @@
 }
 
 func serve(t testing.TB, h http.Handler) *httptest.Server {
-	s := httptest.NewServer(h)
+	s := httptest.NewUnstartedServer(h)
+	l := mwconn.NewListener(s.Listener)
+	l.Attach(s.Config)
+	s.Listener = l
+	s.Start()
 	t.Cleanup(s.Close)
 	return s
 }
