mwconn, mwhost: bound the number of callers' connections

Callers saw: no answer, while other clients held connections on which they sent nothing, or a part of a head, or on which they waited idly.

Cause: nothing limited the connections that a node accepts. They used up its descriptors, so that it could accept no others, and connect neither to other nodes nor to the store. Idle ones may stay for minutes.

A connection beyond it replaces the one that has waited the longest for a request, those that have never had one first, and is accepted when that one is closed. If all have a call in progress, the new one is closed, and its request was not read.

Evidence: TestCrowdDescriptors runs nodes with 400 descriptors, of which 200 are for sockets. With it at most 200 are open, and a call is answered while the crowd is connected.

--- a/mwlib/mwconn/budget_test.go
+++ b/mwlib/mwconn/budget_test.go
@@ -184,3 +184,45 @@
 		c.Check(x.status(), qt.Equals, http.StatusOK)
 	})
 }
+
+// Beyond the maximum, a connection replaces the one that has waited the longest,
+// first among those that have never had a request.
+func TestMaxConns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newCrowded(c, mwconn.WithMaxConns(3))
+		idle := s.dial()
+		idle.send(start + "\r\n")
+		c.Check(idle.status(), qt.Equals, http.StatusOK)
+		time.Sleep(time.Second)
+		partial := s.dial()
+		partial.send(start)
+		time.Sleep(time.Second)
+		silent := s.dial()
+		time.Sleep(time.Second)
+
+		busy := s.dial()
+		busy.send(strings.Replace(start, "GET /", "GET /wait", 1) + "\r\n")
+		c.Check(partial.status(), qt.Equals, http.StatusServiceUnavailable)
+		c.Check(partial.status(), qt.Equals, 0)
+
+		busy2 := s.dial()
+		busy2.send(strings.Replace(start, "GET /", "GET /wait", 1) + "\r\n")
+		c.Check(silent.status(), qt.Equals, 0)
+
+		busy3 := s.dial()
+		busy3.send(strings.Replace(start, "GET /", "GET /wait", 1) + "\r\n")
+		c.Check(idle.status(), qt.Equals, 0)
+
+		rejected := s.dial()
+		c.Check(rejected.status(), qt.Equals, 0)
+		close(s.release)
+		for i, x := range []*client{busy, busy2, busy3} {
+			c.Check(x.status(), qt.Equals, http.StatusOK, qt.Commentf("busy connection %d", i))
+		}
+		synctest.Wait()
+		again := s.dial()
+		again.send(start + "\r\n")
+		c.Check(again.status(), qt.Equals, http.StatusOK)
+	})
+}
--- a/mwlib/mwconn/conn.go
+++ b/mwlib/mwconn/conn.go
@@ -1,6 +1,6 @@
 // Package mwconn bounds what the connections of a listener may use: how long one
-// may take to send a head, how long it may stay idle, and how much memory the heads
-// that they send take.
+// may take to send a head, how long it may stay idle, how many are open and how
+// much memory the heads that they send take.
 //
 // The configuration sets the time limits and can change them at any time, while
 // net/http reads its own timeouts when a server starts. Each connection therefore
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -68,8 +69,13 @@
 type conn struct {
 	net.Conn
 	l       *Listener
+	id      connID
 	account *mwmemory.Account
 	phase   atomic.Int32
+	close   sync.Once
+
+	waitsSince atomic.Int64 // Unix time in nanoseconds
+	served     atomic.Bool  // whether the connection has had a request
 
 	// The server reads from the connection and calls connState from one goroutine
 	// at a time.
@@ -156,7 +162,7 @@
 // nothing was, it sends nothing, since there may be no request.
 func (c *conn) sendRefusal() {
 	c.refused = true
-	c.l.logLimit("connection ended: its memory is needed", c)
+	c.l.logLimit("connection ended: its memory or its place is needed", c)
 	if c.headBytes == 0 {
 		return
 	}
@@ -223,16 +229,30 @@
 	return nil
 }
 
-// Close closes the connection and frees its memory.
+// Close closes the connection and frees its share of the limits.
 func (c *conn) Close() error {
-	c.account.Close()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.close.Do(func() {
+		c.l.conns.Delete(c.id)
+		c.account.Close()
+		c.l.connClosed()
+	})
+	return err
+}
+
+// waitsBefore reports whether c should be closed rather than d.
+func (c *conn) waitsBefore(d *conn) bool {
+	if a, b := c.served.Load(), d.served.Load(); a != b {
+		return b
+	}
+	return c.waitsSince.Load() < d.waitsSince.Load()
 }
 
 // startRequest is called when a whole head was received. It returns false if the
 // request must be refused, since the connection was evicted.
 func (c *conn) startRequest() bool {
 	c.phase.Store(int32(inRequest))
+	c.served.Store(true)
 	return c.account.Pin()
 }
 
@@ -242,6 +262,7 @@
 	c.headBytes = 0
 	c.account.Reset(c.next)
 	c.account.Unpin()
+	c.waitsSince.Store(time.Now().UnixNano())
 	c.phase.Store(int32(awaitRequest))
 }
 
--- a/mwlib/mwconn/listener.go
+++ b/mwlib/mwconn/listener.go
@@ -10,6 +10,9 @@
 
 	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwoption"
+	"mustardwheel.example/mwlib/mwshard"
+	"mustardwheel.example/mwlib/mwtimer"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // Listener is a net.Listener whose connections follow limits that can change.
@@ -17,15 +20,23 @@
 type Listener struct {
 	net.Listener
 	options
-	logged atomic.Int64 // Unix time of the last line in nanoseconds
+	conns  *mwshard.Map[connID, *conn]
+	open   atomic.Int64
+	lastID atomic.Uint64
+	logged atomic.Int64  // Unix time of the last line in nanoseconds
+	closed chan struct{} // receives a value when a connection was closed
 }
 
+// connID identifies a connection of a listener.
+type connID uint64
+
 // options are the optional parameters of NewListener.
 type options struct {
-	limits func() Limits
-	budget *mwmemory.Budget
-	refuse http.Handler
-	log    *slog.Logger
+	limits   func() Limits
+	budget   *mwmemory.Budget
+	maxConns mwunit.Connections
+	refuse   http.Handler
+	log      *slog.Logger
 }
 
 // Option sets an optional parameter of NewListener.
@@ -39,6 +50,10 @@
 // receive.
 func WithBudget(b *mwmemory.Budget) Option { return func(o *options) { o.budget = b } }
 
+// WithMaxConns sets the maximum number of open connections, 0 for no limit. A
+// connection beyond it replaces the one that has waited the longest for a request.
+func WithMaxConns(n mwunit.Connections) Option { return func(o *options) { o.maxConns = n } }
+
 // WithRefusal sets the handler that answers a request for which there is no memory.
 // The request that it gets may be nil or have no head.
 func WithRefusal(h http.Handler) Option { return func(o *options) { o.refuse = h } }
@@ -57,7 +72,10 @@
 		log: slog.New(slog.DiscardHandler),
 	}
 	mwoption.Apply(&o, opts...)
-	return &Listener{Listener: l, options: o}
+	return &Listener{
+		Listener: l, options: o, conns: mwshard.New[connID, *conn](mwshard.DefaultShards),
+		closed: make(chan struct{}, 1),
+	}
 }
 
 // Attach prepares srv to serve the connections of l. It must be called before srv
@@ -87,13 +105,19 @@
 
 // Accept returns the next connection.
 func (l *Listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := l.newConn(nc)
+		if l.makeRoom() {
+			l.conns.Set(c.id, c)
+			return c, nil
+		}
+		l.logLimit("connection rejected: all others are in use", c)
+		c.Close()
 	}
-	c := &conn{Conn: nc, l: l}
-	c.account = l.budget.Open(c.wake)
-	return c, nil
 }
 
 // logPeriod is the minimum time between two log lines of a listener. A crowd of
@@ -108,5 +132,79 @@
 	}
 	s := l.budget.Stats()
 	l.log.Warn(msg, "Listener", l.Addr().String(), "Remote", c.RemoteAddr().String(), "HeadBytes", c.headBytes,
-		"Held", s.Held, "Holders", s.Holders)
+		"Open", l.open.Load(), "Held", s.Held, "Holders", s.Holders)
+}
+
+func (l *Listener) newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc, l: l, id: connID(l.lastID.Add(1))}
+	c.account = l.budget.Open(c.wake)
+	c.waitsSince.Store(time.Now().UnixNano())
+	l.open.Add(1)
+	return c
+}
+
+// makeRoomTimeout is how long a new connection waits for the end of the one that it
+// replaces.
+const makeRoomTimeout = 2 * refusalTimeout
+
+// makeRoom reports whether the newest connection may stay open. If there are too
+// many, it ends another one and waits until that is closed, so that the process's
+// descriptors suffice for all.
+func (l *Listener) makeRoom() bool {
+	if !l.overfull() {
+		return true
+	}
+	if !l.evictLongestWaiting() {
+		return false
+	}
+	timeout := mwtimer.NewTimer(makeRoomTimeout)
+	defer timeout.Stop()
+	for l.overfull() {
+		select {
+		case <-l.closed:
+		case <-timeout.C:
+			return false
+		}
+	}
+	return true
+}
+
+// overfull reports whether more connections are open than allowed.
+func (l *Listener) overfull() bool { return l.maxConns > 0 && l.open.Load() > int64(l.maxConns) }
+
+// connClosed is called when a connection was closed.
+func (l *Listener) connClosed() {
+	l.open.Add(-1)
+	select {
+	case l.closed <- struct{}{}:
+	default:
+	}
+}
+
+// evictLongestWaiting evicts the connection that has waited the longest. It returns
+// false if none waits.
+func (l *Listener) evictLongestWaiting() bool {
+	for {
+		c := l.longestWaiting()
+		if c == nil {
+			return false
+		}
+		if c.account.Evict() {
+			return true
+		}
+	}
+}
+
+// longestWaiting returns the connection that has waited the longest for a complete
+// head, or nil if none waits. Connections that have had a request come after those
+// that have not.
+func (l *Listener) longestWaiting() *conn {
+	var longest *conn
+	l.conns.Range(func(_ connID, c *conn) bool {
+		if phase(c.phase.Load()).waits() && !c.account.Evicted() && (longest == nil || c.waitsBefore(longest)) {
+			longest = c
+		}
+		return true
+	})
+	return longest
 }
--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -29,6 +29,7 @@
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwstore"
 	"mustardwheel.example/mwlib/mwtimer"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // Time limits of the listeners' connections.
@@ -48,6 +49,7 @@
 // listeners serve requests once the kernel exists.
 type Host struct {
 	set           mwsetting.Node
+	limits        limits
 	log           *slog.Logger
 	metrics       *metrics.Set
 	kernel        *mwkernel.Kernel
@@ -94,7 +96,7 @@
 func New(set *mwsetting.Node, opts ...Option) (*Host, func(), error) {
 	o := options{log: slog.Default()}
 	mwoption.Apply(&o, opts...)
-	h := &Host{set: *set, log: o.log, metrics: metrics.NewSet(), drainRequests: make(chan struct{}, 1)}
+	h := &Host{set: *set, limits: limitsOf(set), log: o.log, metrics: metrics.NewSet(), drainRequests: make(chan struct{}, 1)}
 	if err := h.listen(); err != nil {
 		h.closeListeners()
 		return nil, nil, err
@@ -178,18 +180,21 @@
 
 // serve starts the servers on all open listeners.
 func (h *Host) serve(d mwhttp.Dialect) {
-	b := mwmemory.NewBudget(heldMemory(&h.set))
+	lim := h.limits
+	b := mwmemory.NewBudget(lim.heldMemory)
 	h.exportMemory(b)
-	callers := func(o mwcall.Origin) []mwconn.Option {
+	callers := func(o mwcall.Origin, n mwunit.Connections) []mwconn.Option {
 		return []mwconn.Option{
-			mwconn.WithBudget(b), mwconn.WithLimits(h.callerLimits),
+			mwconn.WithBudget(b), mwconn.WithMaxConns(n), mwconn.WithLimits(h.callerLimits),
 			mwconn.WithRefusal(h.front.Refusal(o)), mwconn.WithLog(h.log),
 		}
 	}
-	operators := []mwconn.Option{mwconn.WithBudget(b), mwconn.WithLog(h.log)}
+	operators := []mwconn.Option{
+		mwconn.WithBudget(b), mwconn.WithMaxConns(lim.operatorConns), mwconn.WithLog(h.log),
+	}
 	peer := h.closeWhileDraining(h.front.Peer())
-	h.start(h.entry, h.closeWhileDraining(h.front.Entry()), callers(mwcall.Entry)...)
-	h.start(h.local, h.front.Local(), callers(mwcall.Local)...)
+	h.start(h.entry, h.closeWhileDraining(h.front.Entry()), callers(mwcall.Entry, lim.entryConns)...)
+	h.start(h.local, h.front.Local(), callers(mwcall.Local, lim.localConns)...)
 	control := d.Control(h.kernel)
 	h.start(h.control, control, operators...)
 	h.start(h.ready, control, operators...)
--- a/mwlib/mwhost/memory.go
+++ b/mwlib/mwhost/memory.go
@@ -1,10 +1,6 @@
 package mwhost
 
-import (
-	"mustardwheel.example/mwlib/mwmemory"
-	"mustardwheel.example/mwlib/mwsetting"
-	"mustardwheel.example/mwlib/mwunit"
-)
+import "mustardwheel.example/mwlib/mwmemory"
 
 // exportMemory exports the statistics of b as metrics.
 func (h *Host) exportMemory(b *mwmemory.Budget) {
@@ -17,14 +13,3 @@
 		h.metrics.GetOrCreateGauge(name, func() float64 { return f(b.Stats()) })
 	}
 }
-
-// heldMemoryShare is the share of the process's memory for requests beyond
-// mwmemory.Allowance. What remains is for the state of the node, garbage between two
-// collections and the buffers of the operating system.
-const heldMemoryShare = 0.12
-
-// heldMemory returns the memory for requests beyond mwmemory.Allowance, 0 if it is
-// unlimited.
-func heldMemory(set *mwsetting.Node) mwunit.Bytes {
-	return mwunit.Bytes(heldMemoryShare * float64(set.Place.Memory*mwunit.MB))
-}
--- a/mwlib/mwsetting/check.go
+++ b/mwlib/mwsetting/check.go
@@ -66,6 +66,7 @@
 	c.require(n.Place.Zone != "", "zone", "the name of an availability zone")
 	c.require(n.Place.Region != "", "region", "the name of a region")
 	c.require(n.Place.Memory >= 0, "memory", "at least 0")
+	c.require(n.Place.Descriptors >= 0, "descriptors", "at least 0")
 	c.checkListen(n.Listen)
 	c.checkStore(n.Store)
 	c.checkMember(n.Member)
--- a/mwlib/mwsetting/node.go
+++ b/mwlib/mwsetting/node.go
@@ -33,6 +33,8 @@
 	Service mwid.ServiceName `long:"service" env:"SERVICE" description:"service of this VM's backend server; if set, announcements of other services are refused"`
 
 	Memory mwunit.Bytes `long:"memory" env:"MEMORY" description:"memory that the process may use, MB; 0 means unlimited"`
+
+	Descriptors mwunit.Descriptors `long:"descriptors" env:"DESCRIPTORS" description:"descriptors that the process may have open; 0 means the limit of the operating system. Without 200 for files, 0.4 of them are for connections on --entry, 0.2 for those on --local"`
 }
 
 // Listen holds the addresses of the listeners, "IP:port" each.
--- a/mwlib/mwunit/unit.go
+++ b/mwlib/mwunit/unit.go
@@ -8,6 +8,9 @@
 // Connections counts open connections of a backend server.
 type Connections int
 
+// Descriptors counts open file descriptors of a process.
+type Descriptors int
+
 // Bytes counts bytes.
 type Bytes int64
 
--- a/mwnode/crowd_test.go
+++ b/mwnode/crowd_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -124,6 +125,44 @@
 	}
 }
 
+const (
+	// crowdDescriptors is the maximum number of open descriptors of each node.
+	crowdDescriptors = 400
+	// fileDescriptors is the part of the descriptors that the platform reserves for
+	// files. A node's sockets share the others.
+	fileDescriptors = 200
+)
+
+// Connections on which nothing is sent, or only a part of a head, must not use the
+// descriptors that ordinary callers and calls to other nodes need.
+func TestCrowdDescriptors(t *testing.T) {
+	for _, x := range []crowd{
+		{name: "silent connections", conns: 500, rounds: 1, payload: text("")},
+		{name: "heads in part", conns: 500, rounds: 1, payload: text(getStart)},
+		{name: "idle connections", conns: 500, rounds: 1, payload: text(getStart + "\r\n")},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := newCrowdedSystem(c, withDescriptors(crowdDescriptors))
+			entry := s.nodes[0]
+			stopCounting := maximum(func() int { return entry.sockets(c) })
+			disperse := x.gather(c, entry.entry)
+			eventually(c, "an answer while the crowd is connected", func() bool {
+				return entry.do(read).status == http.StatusOK
+			})
+			disperse()
+			eventually(c, "an answer after the crowd has left", func() bool {
+				return entry.do(read).status == http.StatusOK
+			})
+			n := stopCounting()
+			c.Check(n <= crowdDescriptors-fileDescriptors, qt.IsTrue, qt.Commentf("%d sockets", n))
+			for _, n := range s.nodes {
+				c.Check(n.ended(), qt.IsFalse, qt.Commentf("node in %s", n.zone))
+			}
+		})
+	}
+}
+
 // newCrowdedSystem runs a system of two nodes with a backend server at the second
 // one. Reads are repeatable.
 func newCrowdedSystem(c *qt.C, opts ...option) *system {
@@ -245,4 +284,24 @@
 	return sum
 }
 
+// sockets returns the number of open sockets of the process.
+func (p *process) sockets(c *qt.C) int {
+	c.Helper()
+	dir := filepath.Join(p.procDir(), "fd")
+	entries, err := os.ReadDir(dir)
+	c.Check(err, qt.IsNil)
+	n := 0
+	for _, e := range entries {
+		to, err := os.Readlink(filepath.Join(dir, e.Name()))
+		if errors.Is(err, os.ErrNotExist) {
+			continue // closed meanwhile
+		}
+		c.Check(err, qt.IsNil)
+		if strings.HasPrefix(to, "socket:") {
+			n++
+		}
+	}
+	return n
+}
+
 func (p *process) procDir() string { return filepath.Join("/proc", strconv.Itoa(p.cmd.Process.Pid)) }
--- a/mwnode/process_test.go
+++ b/mwnode/process_test.go
@@ -173,7 +173,8 @@
 	nodes   []*node
 	servers []*process
 
-	nodeArgs []string // further arguments of each node
+	nodeArgs    []string // further arguments of each node
+	descriptors int      // maximum number of open descriptors of each node; 0 means that of the test
 }
 
 // option configures newSystem.
@@ -184,6 +185,9 @@
 	return func(s *system) { s.nodeArgs = append(s.nodeArgs, args...) }
 }
 
+// withDescriptors limits the open descriptors of each node to n.
+func withDescriptors(n int) option { return func(s *system) { s.descriptors = n } }
+
 // newSystem runs a store and n nodes, each in its own availability zone.
 func newSystem(c *qt.C, n int, opts ...option) *system {
 	s := &system{c: c, store: freePort(c)}
@@ -207,7 +211,7 @@
 	for _, o := range s.nodes {
 		args = append(args, "--member.join", string(o.peer))
 	}
-	n.process = start(s.c, "mwnode", append(args, s.nodeArgs...)...)
+	n.process = startCommand(s.c, s.nodeCommand(append(args, s.nodeArgs...)))
 	eventually(s.c, "the node's admin listener", func() bool {
 		_, err := n.client().Status(context.Background())
 		return err == nil
@@ -215,6 +219,17 @@
 	return n
 }
 
+// nodeCommand returns the command of a node, which the shell starts if its
+// descriptors are limited.
+func (s *system) nodeCommand(args []string) *exec.Cmd {
+	program := filepath.Join(binDir, "mwnode")
+	if s.descriptors == 0 {
+		return exec.Command(program, args...)
+	}
+	script := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, s.descriptors)
+	return exec.Command("sh", append([]string{"-c", script, program}, args...)...)
+}
+
 func (n *node) client() *mwadmin.Client { return mwadmin.NewClient(n.admin) }
 
 // startServer runs a backend server of the service auftrag at n.
