mwhost: bound the bytes that clients send behind a call in progress

Operators saw: a process beyond the memory of its VM, as the platform counts bytes that were received and not read.

Cause: while a call is in progress, the node reads nothing further from its connection. What the client sends meanwhile stays in the receive buffer, whose size the operating system chooses.

Connections between nodes keep the size of the operating system, since calls with long bodies use them.

--- a/mwlib/mwhost/host.go
+++ b/mwlib/mwhost/host.go
@@ -146,16 +146,18 @@
 func (h *Host) listen() error {
 	l := &h.set.Listen
 	for _, x := range []struct {
-		to   **listener
-		addr *mwid.Address
+		to     **listener
+		addr   *mwid.Address
+		buffer mwunit.Bytes
 	}{
-		{&h.entry, &l.Entry}, {&h.local, &l.Local}, {&h.peer, &l.Peer}, {&h.admin, &l.Admin},
-		{&h.control, &l.Control}, {&h.ready, &l.Ready},
+		{&h.entry, &l.Entry, h.limits.receiveBuffer}, {&h.local, &l.Local, h.limits.receiveBuffer},
+		{&h.peer, &l.Peer, 0}, {&h.admin, &l.Admin, h.limits.receiveBuffer},
+		{&h.control, &l.Control, h.limits.receiveBuffer}, {&h.ready, &l.Ready, h.limits.receiveBuffer},
 	} {
 		if *x.addr == "" {
 			continue
 		}
-		ln, err := net.Listen("tcp", string(*x.addr))
+		ln, err := listenTCP(*x.addr, x.buffer)
 		if err != nil {
 			return fmt.Errorf("mwhost: opening listener: %w", err)
 		}
--- a/mwlib/mwhost/limits.go
+++ b/mwlib/mwhost/limits.go
@@ -1,8 +1,13 @@
 package mwhost
 
 import (
+	"context"
+	"net"
+	"syscall"
+
 	"golang.org/x/sys/unix"
 
+	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwsetting"
 	"mustardwheel.example/mwlib/mwunit"
@@ -14,6 +19,7 @@
 	localConns    mwunit.Connections // connections of this VM's backend server
 	operatorConns mwunit.Connections // connections of each of the admin, control and ready listeners
 	heldMemory    mwunit.Bytes       // memory for requests beyond mwmemory.Allowance
+	receiveBuffer mwunit.Bytes       // operating system's buffer for bytes that a caller sent
 }
 
 // Shares of the memory of the process. What remains is for the state of the node,
@@ -21,9 +27,12 @@
 const (
 	connsMemoryShare = 0.36
 	heldMemoryShare  = 0.12
-	// connMemory is the memory of a connection: its goroutines and buffers, and its
-	// allowance.
-	connMemory = 16<<10 + mwmemory.Allowance
+	// connMemory is the memory of a connection: its goroutines and buffers, its
+	// allowance, and what was received and not read.
+	connMemory = 16<<10 + mwmemory.Allowance + receiveBuffer
+	// receiveBuffer holds a usual request, and bounds what clients can send while
+	// their call is in progress.
+	receiveBuffer mwunit.Bytes = 16 << 10
 )
 
 // Shares of the descriptors that are left for sockets. What remains is for
@@ -55,10 +64,29 @@
 		}
 		return mwunit.Connections(max(n, 1))
 	}
-	return limits{
+	l := limits{
 		entryConns: conns(entryShare), localConns: conns(localShare), operatorConns: operatorConns,
 		heldMemory: mwunit.Bytes(heldMemoryShare * memory),
 	}
+	if memory > 0 {
+		l.receiveBuffer = receiveBuffer
+	}
+	return l
+}
+
+// listenTCP opens a listener whose connections have receive buffers of the given
+// size, or of the operating system's size if it is 0.
+func listenTCP(addr mwid.Address, buffer mwunit.Bytes) (net.Listener, error) {
+	var lc net.ListenConfig
+	if buffer > 0 {
+		lc.Control = func(_, _ string, rc syscall.RawConn) error {
+			return rc.Control(func(fd uintptr) {
+				// If the option is not supported, the operating system's size applies.
+				_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, int(buffer))
+			})
+		}
+	}
+	return lc.Listen(context.Background(), "tcp", string(addr))
 }
 
 // socketsOf returns the number of sockets of a process that may have n open
--- a/mwnode/crowd_test.go
+++ b/mwnode/crowd_test.go
@@ -62,6 +62,12 @@
 	}
 }
 
+// longCall is a call that stays in progress for longTime.
+const (
+	longCall = "GET /long HTTP/1.1\r\nHost: a\r\nMw-Service: auftrag\r\n\r\n"
+	longTime = "5s"
+)
+
 // memoryCrowds are the crowds that try to fill the memory of a node.
 var memoryCrowds = []crowd{{
 	name: "whole requests of short lines", conns: 200, rounds: 4, answered: true,
@@ -81,6 +87,9 @@
 }, {
 	name: "trailers of short lines", conns: 1000, rounds: 1, answered: true,
 	payload: text(postStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + shortLines("", 3_900) + "\r\n"),
+}, {
+	name: "bytes behind a call in progress", conns: 1000, rounds: 1,
+	payload: text(longCall + strings.Repeat("b", 1<<20)),
 }, {
 	name: "lines without end", conns: 50, rounds: 1, payload: endless(getStart, "a: b\r\n"),
 }, {
@@ -167,7 +176,7 @@
 // one. Reads are repeatable.
 func newCrowdedSystem(c *qt.C, opts ...option) *system {
 	s := newSystem(c, 2, opts...)
-	s.startServer(s.nodes[1])
+	s.startServer(s.nodes[1], "--slots", "1000", "--connections", "1000", "--long-time", longTime)
 	s.apply()
 	s.waitForTargets(1)
 	return s
