mwhttp: charge bodies and answers that are held to the budget

Callers saw: as with heads, a process that runs out of memory, here by bodies that are held for a retry and never end, by answers that are read ahead for slow callers, and by copies of answers that are to be stored.

Cause: each has a limit of its own, 64 KiB or 256 KiB, times the number of connections.

Change: they are charged to the account of the connection as they are read. A body without memory is refused with MemoryFull (1023), a 503 that says that the call has not run; a connection that is sending its body may also make room for others. An answer without memory is streamed instead of read ahead, and not stored, so a call that has run is always answered.

Evidence: TestCrowdMemory, "bodies that do not end": 1,000 clients that send 65,000 of 65,536 bytes took 106 MB of 64 MB before the limits, and the case still failed with the number of connections limited. With the change it passes. In BenchmarkCall a call through two nodes takes 25.2 KB instead of 25.1 KB.

--- a/mwlib/mwhttp/answer.go
+++ b/mwlib/mwhttp/answer.go
@@ -16,6 +16,8 @@
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmemory"
+	"mustardwheel.example/mwlib/mwunit"
 )
 
 // copyBufferSize is the size in bytes of the buffers for copying answers.
@@ -56,13 +58,18 @@
 
 // bufferBody reads a body of up to maxBufferedBody into memory. This also
 // prevents a slow caller from occupying the connection and the slot of the
-// backend server. A body of unknown length is read only if bufferable is set.
+// backend server. A body of unknown length is read only if bufferable is set. If
+// there is no memory for the body, it is streamed.
 func (a *answer) bufferBody(ctx context.Context, bufferable bool) error {
 	if a.resp.ContentLength > maxBufferedBody || a.resp.ContentLength < 0 && !bufferable {
 		return nil
 	}
 	body := a.resp.Body
-	b, err := io.ReadAll(io.LimitReader(body, maxBufferedBody+1))
+	b, err := io.ReadAll(&chargedReader{io.LimitReader(body, maxBufferedBody+1), a.e.memory})
+	if errors.Is(err, mwmemory.ErrFull) {
+		a.resp.Body = &readCloser{io.MultiReader(bytes.NewReader(b), body), body}
+		return nil
+	}
 	if err != nil {
 		body.Close()
 		code := mwcode.ConnectionLost
@@ -139,6 +146,7 @@
 // copyBody copies the body in pieces. It flushes an answer of unknown length
 // after each piece, since there may be long gaps between them.
 func (a *answer) copyBody() error {
+	a.e.memory.Add(copyBufferSize)
 	buf := copyBuffers.Get().(*[copyBufferSize]byte)
 	defer copyBuffers.Put(buf)
 	rc := http.NewResponseController(a.e.w)
@@ -188,7 +196,7 @@
 }
 
 func (a *answer) recordPiece(p []byte) {
-	if a.record.Len()+len(p) > maxStoredBody {
+	if a.record.Len()+len(p) > maxStoredBody || a.e.memory.Charge(memoryPerHeldByte*mwunit.Bytes(len(p))) != nil {
 		a.recording = false
 		a.record = bytes.Buffer{}
 		return
--- a/mwlib/mwhttp/body.go
+++ b/mwlib/mwhttp/body.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -21,9 +22,9 @@
 }
 
 // newBody returns a body of length bytes that reads from r; length is -1 if
-// unknown. It reads and holds a body of up to limit bytes. It does not read
-// from a body that is known to be larger.
-func newBody(r io.Reader, length int64, limit mwunit.Bytes) (*body, error) {
+// unknown. It reads and holds a body of up to limit bytes, which it charges to
+// memory. It does not read from a body that is known to be larger.
+func newBody(r io.Reader, length int64, limit mwunit.Bytes, memory *mwmemory.Account) (*body, error) {
 	b := &body{stream: r, length: length}
 	if length > int64(limit) {
 		return b, nil
@@ -33,7 +34,7 @@
 		return b, nil
 	}
 	var buf bytes.Buffer
-	n, err := io.Copy(&buf, io.LimitReader(r, int64(limit)+1))
+	n, err := io.Copy(&buf, &chargedReader{io.LimitReader(r, int64(limit)+1), memory})
 	if err != nil {
 		return nil, err
 	}
--- a/mwlib/mwhttp/exchange.go
+++ b/mwlib/mwhttp/exchange.go
@@ -14,6 +14,7 @@
 	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwkernel"
+	"mustardwheel.example/mwlib/mwmemory"
 	"mustardwheel.example/mwlib/mwunit"
 )
 
@@ -27,6 +28,7 @@
 	body     *body
 	in       *limitedBody // the body as received
 	fromPeer bool         // whether another node sent the request
+	memory   *mwmemory.Account
 
 	mu        sync.Mutex
 	committed bool // whether the head of the answer was sent or is about to be
--- a/mwlib/mwhttp/front.go
+++ b/mwlib/mwhttp/front.go
@@ -124,7 +124,7 @@
 		f.refuse(w, c, err, h, fromPeer)
 		return
 	}
-	e := &exchange{f: f, w: w, r: r, c: c, body: b, in: in, fromPeer: fromPeer}
+	e := &exchange{f: f, w: w, r: r, c: c, body: b, in: in, fromPeer: fromPeer, memory: memory}
 	f.k.Serve(r.Context(), c, e)
 	if e.abort {
 		panic(http.ErrAbortHandler)
@@ -136,7 +136,7 @@
 // has run, so the connection may be evicted.
 func (f *Front) receiveBody(in *limitedBody, length int64, memory *mwmemory.Account) (*body, error) {
 	memory.Unpin()
-	b, err := newBody(in, length, f.buffer)
+	b, err := newBody(in, length, f.buffer, memory)
 	if !memory.Pin() || errors.Is(err, mwmemory.ErrFull) {
 		return nil, mwcode.New(mwcode.MemoryFull, mwcode.Wrap(mwmemory.ErrFull))
 	}
--- a/mwlib/mwhttp/memory_test.go
+++ b/mwlib/mwhttp/memory_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -12,6 +13,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwcall"
+	"mustardwheel.example/mwlib/mwcode"
 	"mustardwheel.example/mwlib/mwhttp"
 	"mustardwheel.example/mwlib/mwmemory"
 )
@@ -34,6 +36,33 @@
 	return w
 }
 
+// While there is no memory, a large body is refused as not run, and it reaches no
+// backend server. An ordinary one is still accepted.
+func TestBodyWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	var ran atomic.Int64
+	s := newStack(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	b := usedUp(c)
+	for _, x := range []struct {
+		name    string
+		size    int
+		refused bool
+	}{{"ordinary", 4 << 10, false}, {"large", 60 << 10, true}} {
+		a := b.Open(func() {})
+		w := serveWith(a, s.entry.Config.Handler, strings.NewReader(strings.Repeat("b", x.size)))
+		a.Close()
+		if !x.refused {
+			c.Check(w.Code, qt.Equals, http.StatusOK, qt.Commentf(x.name))
+			continue
+		}
+		c.Check(w.Code, qt.Equals, http.StatusServiceUnavailable)
+		c.Check(w.Header().Get(mwhttp.HeaderCode), qt.Equals, strconv.Itoa(int(mwcode.MemoryFull)))
+		c.Check(w.Header().Get(mwhttp.HeaderOutcome), qt.Equals, "NotRun")
+		c.Check(w.Header().Get("Retry-After"), qt.Equals, "1")
+	}
+	c.Check(ran.Load(), qt.Equals, int64(1))
+}
+
 // Trailers count when the end of the body was read. Without memory for them the
 // request is refused as not run.
 func TestTrailersWithoutMemory(t *testing.T) {
@@ -85,6 +114,20 @@
 	c.Check(ran.Load(), qt.Equals, int64(0))
 }
 
+// A call that has run is answered in full even if there is no memory to hold its
+// answer.
+func TestAnswerWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	for _, size := range []int{100, 30 << 10, 64 << 10, 200 << 10} {
+		answer := strings.Repeat("a", size)
+		s := newStack(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, answer) }))
+		a := usedUp(c).Open(func() {})
+		w := serveWith(a, s.entry.Config.Handler, strings.NewReader("body"))
+		c.Check(w.Code, qt.Equals, http.StatusOK)
+		c.Check(w.Body.String() == answer, qt.IsTrue, qt.Commentf("answer of %d bytes", size))
+	}
+}
+
 // A call in progress must not be evicted.
 func TestCallInProgressIsPinned(t *testing.T) {
 	c := qt.New(t)
--- a/mwnode/crowd_test.go
+++ b/mwnode/crowd_test.go
@@ -84,6 +84,9 @@
 }, {
 	name: "heads that were sent together with a request", conns: 1000, rounds: 1,
 	payload: text(getStart + "\r\n" + shortLines(getStart, 4_000)),
+}, {
+	name: "bodies that do not end", conns: 1000, rounds: 1,
+	payload: text(postStart + "Content-Length: 65536\r\n\r\n" + strings.Repeat("b", 65_000)),
 }, {
 	name: "trailers of short lines", conns: 1000, rounds: 1, answered: true,
 	payload: text(postStart + "Transfer-Encoding: chunked\r\n\r\n0\r\n" + shortLines("", 3_900) + "\r\n"),
