--- a/mwlib/mwversion/apart_test.go
+++ b/mwlib/mwversion/apart_test.go
@@ -1,7 +1,12 @@
 package mwversion_test
 
 import (
+	"cmp"
 	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -16,17 +21,23 @@
 )
 
 // silencer models the connections between nodes: one from each node to each peer
-// that it calls. silence makes all open connections silent for good. A call that
+// that it calls. silence makes open connections silent for good. A call that
 // times out closes its connection, which ends the other calls on it, and the next
 // call opens a new one.
 type silencer struct {
 	mu    sync.Mutex
 	conns map[pair]*conn
+	rnd   *rand.Rand
 }
 
 // pair is a node and a peer that it calls.
 type pair struct{ from, to mwid.Address }
 
+// compare orders pairs by their addresses.
+func (p pair) compare(q pair) int {
+	return cmp.Or(cmp.Compare(p.from, q.from), cmp.Compare(p.to, q.to))
+}
+
 // conn is one connection; calls on it end when it is closed.
 type conn struct {
 	silent bool
@@ -34,14 +45,18 @@
 }
 
 // newSilencer returns a silencer without connections.
-func newSilencer() *silencer { return &silencer{conns: make(map[pair]*conn)} }
+func newSilencer() *silencer {
+	return &silencer{conns: make(map[pair]*conn), rnd: rand.New(rand.NewPCG(1, 1))}
+}
 
-// silence makes all open connections silent.
-func (s *silencer) silence() {
+// silence makes a share of the open connections silent.
+func (s *silencer) silence(share float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, c := range s.conns {
-		c.silent = true
+	for _, k := range slices.SortedFunc(maps.Keys(s.conns), pair.compare) {
+		if s.rnd.Float64() < share {
+			s.conns[k].silent = true
+		}
 	}
 }
 
@@ -114,13 +129,33 @@
 	run(t, 6, nodesPerZone, func(cl *cluster) {
 		for i := range rounds {
 			advance(10 * time.Second)
-			s.silence()
+			s.silence(1)
 			advance(time.Second)
 			cl.waitForVersion(applyLimit, cl.apply("a", i), cl.Nodes())
 		}
 	}, mwcluster.WithPeersWrapper(s.wrap))
 }
 
+// TestChangeAfterSomeConnectionsWentSilent varies the share of the connections that go
+// silent and the time between that and the change.
+func TestChangeAfterSomeConnectionsWentSilent(t *testing.T) {
+	shares := []float64{0.3, 0.7, 1}
+	delays := []time.Duration{0, 500 * time.Millisecond, 2 * time.Second, 4500 * time.Millisecond}
+	for _, share := range shares {
+		t.Run(fmt.Sprintf("share %v", share), func(t *testing.T) {
+			s := newSilencer()
+			run(t, 6, nodesPerZone, func(cl *cluster) {
+				for i, delay := range delays {
+					advance(10 * time.Second)
+					s.silence(share)
+					advance(delay)
+					cl.waitForVersion(applyLimit, cl.apply("a", i), cl.Nodes())
+				}
+			}, mwcluster.WithPeersWrapper(s.wrap))
+		})
+	}
+}
+
 // TestChangeAtNodesWithoutPeers guards against a change that a node misses because it
 // can reach the store, but not the nodes that read it.
 func TestChangeAtNodesWithoutPeers(t *testing.T) {
