--- a/check.sh
+++ b/check.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Checks the whole workspace: format, vet, staticcheck, build, and all tests
-# with the race detector, those of crowds apart. Tests named in KNOWN-RED.txt are skipped, and the file
-# is printed. The script prints one line per step and exits with 0 if all pass.
+# with the race detector, those of crowds apart. Tests named in KNOWN-RED.txt are
+# skipped, and the file is printed. The script prints one line per step and exits
+# with 0 if all pass.
 set -euo pipefail
 cd "$(dirname "$0")"
 
--- a/mwlib/mwconn/listener.go
+++ b/mwlib/mwconn/listener.go
@@ -55,10 +55,10 @@
 func WithMaxConns(n mwunit.Connections) Option { return func(o *options) { o.maxConns = n } }
 
 // WithRefusal sets the handler that answers a request for which there is no memory.
-// The request that it gets may be nil or have no head.
+// It must not use its request, which is nil if only a part of the head was received.
 func WithRefusal(h http.Handler) Option { return func(o *options) { o.refuse = h } }
 
-// WithLog sets the logger. At most one line is logged each logPeriod.
+// WithLog sets the logger. A listener logs at most one line a second.
 func WithLog(l *slog.Logger) Option { return func(o *options) { o.log = l } }
 
 // NewListener returns a Listener over l. Without options its connections have no
--- a/mwnode/crowd_test.go
+++ b/mwnode/crowd_test.go
@@ -43,6 +43,17 @@
 	// answered means that a client reads an answer after each request. Otherwise it
 	// leaves the connection open until the crowd ends.
 	answered bool
+	// listener returns the address to which the crowd connects; nil means that of the
+	// entry listener.
+	listener func(*node) mwid.Address
+}
+
+// address returns the address at n to which the crowd connects.
+func (x crowd) address(n *node) mwid.Address {
+	if x.listener == nil {
+		return n.entry
+	}
+	return x.listener(n)
 }
 
 // endless returns a payload that writes start and then s over and over, up to 4 MB
@@ -81,6 +92,14 @@
 }, {
 	name: "heads that do not end", conns: 1000, rounds: 1,
 	payload: text(shortLines(getStart, 16_000)),
+}, {
+	name: "heads that do not end, at the peer listener", conns: 1000, rounds: 1,
+	payload:  text(shortLines(getStart, 16_000)),
+	listener: func(n *node) mwid.Address { return n.peer },
+}, {
+	name: "heads that do not end, at the admin listener", conns: 1000, rounds: 1,
+	payload:  text(shortLines(getStart, 16_000)),
+	listener: func(n *node) mwid.Address { return n.admin },
 }, {
 	name: "heads that were sent together with a request", conns: 1000, rounds: 1,
 	payload: text(getStart + "\r\n" + shortLines(getStart, 4_000)),
@@ -115,8 +134,8 @@
 			c := qt.New(t)
 			s := newCrowdedSystem(c, withNodeArgs("--memory", strconv.Itoa(int(crowdMemory/mwunit.MB))))
 			entry := s.nodes[0]
-			stopMeasuring := maximum(func() mwunit.Bytes { return unread(c, entry.entry) })
-			disperse := x.gather(c, entry.entry)
+			stopMeasuring := maximum(func() mwunit.Bytes { return unread(c, x.address(entry)) })
+			disperse := x.gather(c, x.address(entry))
 			eventually(c, "an answer while the crowd is connected", func() bool {
 				return entry.do(read).status == http.StatusOK
 			})
