mwconn, mwhttp: report a reset in the middle of an answer without a length

Callers saw: a 200 with a part of its body, as a complete answer. A backend server had answered a long upload at once, without a length, and reset the connection in the middle of the body while the upload was still being sent.

Cause: only the end of the connection completes such a body. The operating system reports the error of a connection once, to whichever side asks first. If the goroutine that sends the upload gets the reset, the one that reads the answer gets the bytes that have arrived and then io.EOF, which is also what it gets after an answer that is complete. Neither linkBody nor net/http's Transport, which carries long uploads to other nodes, asked the sending side.

Change: connections to backend servers and to other nodes are ClientConns. At the end of the input, a ClientConn ends the write in progress and takes the first error of a write. If there is one, it is returned in place of io.EOF. Two errors leave the end as it is: EPIPE, which Linux reports for a reset that follows the sender's own end, and the deadline by which ClientConn itself ends the write, since the reset was then not reported to the sending side and would have been to the reading side. The lock of the write makes this exact: a write that was told of the reset has stored its error before the reading side decides. No time limit and no wait for the caller's upload are involved.

--- a/mwlib/mwhttp/link.go
+++ b/mwlib/mwhttp/link.go
@@ -64,7 +64,7 @@
 // link is one persistent connection, used by one call at a time.
 type link struct {
 	set        *linkSet
-	conn       net.Conn
+	conn       *mwconn.ClientConn
 	r          *mwconn.AnswerReader
 	expires    time.Time // when this node stops reusing the connection if it stays idle
 	lastAnswer time.Time // end of the last answer
@@ -202,7 +202,7 @@
 
 func (s *linkSet) dial(ctx context.Context) (*link, error) {
 	d := net.Dialer{Timeout: s.cfg.dialTimeout, KeepAlive: keepAlivePeriod, Control: setUnackedTimeout}
-	conn, err := d.DialContext(ctx, "tcp", string(s.addr))
+	nc, err := d.DialContext(ctx, "tcp", string(s.addr))
 	if err != nil {
 		code := mwcode.ConnectFailed
 		switch {
@@ -213,6 +213,7 @@
 		}
 		return nil, mwcode.New(code, mwcode.Wrap(err))
 	}
+	conn := mwconn.NewClientConn(nc)
 	return &link{
 		set: s, conn: conn, r: mwconn.NewAnswerReader(conn, linkBufferSize), failed: mwset.New[mwid.RequestID](),
 	}, nil
@@ -224,7 +225,7 @@
 	if k.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := k.conn.(*net.TCPConn)
+	sc, ok := k.conn.Conn.(*net.TCPConn)
 	if !ok {
 		return true
 	}
--- a/mwlib/mwhttp/pool.go
+++ b/mwlib/mwhttp/pool.go
@@ -91,7 +91,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c}, nil
+			return &countedConn{Conn: mwconn.NewClientConn(c)}, nil
 		},
 		MaxIdleConns:          maxIdlePerHost,
 		MaxIdleConnsPerHost:   maxIdlePerHost,
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -164,18 +164,19 @@
 	target *mwkernel.Kernel
 }
 
-// newStack starts a stack whose backend server is backend.
-func newStack(t testing.TB, backend http.Handler) *stack {
+// newStack starts a stack whose backend server is backend. The options are those of
+// the front ends of both nodes.
+func newStack(t testing.TB, backend http.Handler, opts ...mwhttp.Option) *stack {
 	c := qt.New(t)
 	zone := newZone(t)
 	b := httptest.NewServer(backend)
 	t.Cleanup(b.Close)
 	s := &stack{}
-	front, _ := newNode(c, zone)
+	front, _ := newNode(c, zone, opts...)
 	s.entry = serve(t, front.Entry())
 	peer := &deferredHandler{}
 	s.peer = serve(t, peer)
-	targetFront, k := newNodeAt(c, zone, address(s.peer))
+	targetFront, k := newNodeAt(c, zone, address(s.peer), opts...)
 	peer.set(targetFront.Peer())
 	s.direct = serve(t, targetFront.Entry())
 	s.target = k
@@ -239,12 +240,12 @@
 	return mwid.Address(strings.TrimPrefix(s.URL, "http://"))
 }
 
-func newNode(c *qt.C, zone mwid.ZoneName) (*mwhttp.Front, *mwkernel.Kernel) {
-	return newNodeAt(c, zone, "127.0.0.1:1")
+func newNode(c *qt.C, zone mwid.ZoneName, opts ...mwhttp.Option) (*mwhttp.Front, *mwkernel.Kernel) {
+	return newNodeAt(c, zone, "127.0.0.1:1", opts...)
 }
 
 // newNodeAt returns a node whose peer listener is at addr.
-func newNodeAt(c *qt.C, zone mwid.ZoneName, addr mwid.Address) (*mwhttp.Front, *mwkernel.Kernel) {
+func newNodeAt(c *qt.C, zone mwid.ZoneName, addr mwid.Address, opts ...mwhttp.Option) (*mwhttp.Front, *mwkernel.Kernel) {
 	set := mwsetting.Default()
 	set.Place.Zone = zone
 	set.Listen.Peer = addr
@@ -253,11 +254,19 @@
 		mwkernel.WithMetrics(metrics.NewSet()))
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(stop)
-	f, stopFront := mwhttp.New(k, set.Relay)
+	f, stopFront := mwhttp.New(k, set.Relay, opts...)
 	c.Cleanup(stopFront)
 	return f, k
 }
 
+// url returns the URL of the target's node if direct is set, and else of the entry node.
+func (s *stack) url(direct bool) string {
+	if direct {
+		return s.direct.URL
+	}
+	return s.entry.URL
+}
+
 // request returns a request to the entry node.
 func (s *stack) request(c *qt.C, method, path string, body io.Reader) *http.Request {
 	r, err := http.NewRequest(method, s.entry.URL+path, body)
