mwconn, mwhttp, mwadmin, platform: refuse an answer without a status

Callers saw: a connection that was closed without an answer, if the call entered at the target's node, or a 502 from another node, when a backend server answered with the status 000, 001 or 099. If another node's address was answered in this way, callers of the entry node saw the same. Operators saw a successful drain. A health check with such a response counted as one of a backend server that leaves or is gone.

Cause: net/http's ReadResponse and Transport accept any status of three characters that is a number. mwhttp took those below 200 for informational answers and passed them on, and the server's WriteHeader panics on a status below 100. The panic was contained, and ended the caller's connection.

Change: AnswerReader and AnswerTransport, an http.Transport, return ErrMalformed for a status below 100. All connections on which the product reads answers use one of the two: to backend servers, other nodes, the store, health checks and the admin listener. The outcome of the call is unknown (ConnectionLost, 502), so that only repeatable calls are sent again.

--- a/mwlib/mwadmin/client.go
+++ b/mwlib/mwadmin/client.go
@@ -10,6 +10,7 @@
 
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwid"
 )
 
@@ -19,9 +20,12 @@
 	http *http.Client
 }
 
+// transport is the transport of all clients.
+var transport = mwconn.AnswerTransport{Transport: http.DefaultTransport.(*http.Transport)}
+
 // NewClient returns a Client for the node whose admin listener is at addr.
 func NewClient(addr mwid.Address) *Client {
-	return &Client{addr: addr, http: &http.Client{}}
+	return &Client{addr: addr, http: &http.Client{Transport: transport}}
 }
 
 // Status returns the status of the node.
--- a/mwlib/mwconn/head.go
+++ b/mwlib/mwconn/head.go
@@ -31,12 +31,20 @@
 }
 
 // ReadResponse reads the head of the answer to req. It returns an error that
-// wraps ErrHeadTooLong if the head is too long. The body of the answer is read
-// from the connection without a limit on its size.
+// wraps ErrHeadTooLong if the head is too long, or ErrMalformed if net/http accepts
+// the answer although it is malformed. The body of the answer is read from the
+// connection without a limit on its size.
 func (a *AnswerReader) ReadResponse(req *http.Request) (*http.Response, error) {
 	a.src.limit(MaxHead - a.Buffered())
 	defer a.src.unlimit()
-	return http.ReadResponse(a.Reader, req)
+	resp, err := http.ReadResponse(a.Reader, req)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkAnswer(resp); err != nil {
+		return nil, err
+	}
+	return resp, nil
 }
 
 // headSource reads from r. While limited is set, it fails after left bytes.
--- a/mwlib/mwhttp/pool.go
+++ b/mwlib/mwhttp/pool.go
@@ -38,7 +38,7 @@
 
 // pooledTransport is the transport to one address.
 type pooledTransport struct {
-	t        *http.Transport
+	t        mwconn.AnswerTransport
 	lastUsed atomic.Int64 // Unix time in seconds
 }
 
@@ -47,7 +47,7 @@
 }
 
 // get returns the transport to addr, creating it if needed.
-func (p *pool) get(addr mwid.Address) *http.Transport {
+func (p *pool) get(addr mwid.Address) mwconn.AnswerTransport {
 	e := p.m.GetOrSet(addr, func() *pooledTransport { return &pooledTransport{t: newTransport()} })
 	e.lastUsed.Store(time.Now().Unix())
 	return e.t
@@ -81,11 +81,11 @@
 	})
 }
 
-func newTransport() *http.Transport {
+func newTransport() mwconn.AnswerTransport {
 	d := &net.Dialer{
 		Timeout: dialTimeout, KeepAlive: keepAlivePeriod, Control: setUnackedTimeout,
 	}
-	return &http.Transport{
+	return mwconn.AnswerTransport{Transport: &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
@@ -100,7 +100,7 @@
 		DisableCompression:    true,
 
 		MaxResponseHeaderBytes: mwconn.MaxHead,
-	}
+	}}
 }
 
 // setUnackedTimeout sets TCP_USER_TIMEOUT of a socket to unackedTimeout.
--- a/mwlib/mwhttp/trip.go
+++ b/mwlib/mwhttp/trip.go
@@ -8,6 +8,7 @@
 	"sync"
 
 	"mustardwheel.example/mwlib/mwcode"
+	"mustardwheel.example/mwlib/mwconn"
 	"mustardwheel.example/mwlib/mwid"
 )
 
@@ -22,7 +23,7 @@
 
 // run sends the request through t and returns the head of the answer. The code
 // of its error shows whether a byte of the request may have reached addr.
-func (p *pool) run(ctx context.Context, t *http.Transport, out *http.Request, addr mwid.Address, on1xx func(int, textproto.MIMEHeader) error) (*http.Response, error) {
+func (p *pool) run(ctx context.Context, t mwconn.AnswerTransport, out *http.Request, addr mwid.Address, on1xx func(int, textproto.MIMEHeader) error) (*http.Response, error) {
 	var tr trip
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn:        tr.gotConn,
