mwconn, mwhttp: wait for unread input in the tests of a close with it

Cause: the stand-in of the server read 1 MB and then closed the connection.

Change: the stand-in waits until there is unread input before it closes, here and in TestResetInABodyWithoutALength, where the input had 20 ms to arrive. What the tests check is unchanged.

--- a/mwlib/mwconn/client_test.go
+++ b/mwlib/mwconn/client_test.go
@@ -1,6 +1,7 @@
 package mwconn_test
 
 import (
+	"errors"
 	"io"
 	"net"
 	"os"
@@ -8,6 +9,7 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"mustardwheel.example/mwlib/mwconn"
 )
@@ -40,6 +42,17 @@
 	return done
 }
 
+// waitForInput waits until conn has unread input, or an error.
+func waitForInput(c *qt.C, conn *net.TCPConn) {
+	rc, err := conn.SyscallConn()
+	c.Assert(err, qt.IsNil)
+	err = rc.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+	c.Assert(err, qt.IsNil)
+}
+
 // The connection ends while a request is written to it. The writing side learns of
 // the end before the other side reads.
 func TestEndDuringAWrite(t *testing.T) {
@@ -59,9 +72,8 @@
 			c := qt.New(t)
 			client, server := newClientPair(c)
 			done := writeUntilError(client)
-			_, err := io.ReadFull(server, make([]byte, 1<<20)) // The write is in progress.
-			c.Assert(err, qt.IsNil)
-			_, err = io.WriteString(server, part)
+			waitForInput(c, server) // The write is in progress.
+			_, err := io.WriteString(server, part)
 			c.Assert(err, qt.IsNil)
 			test.end(server)
 			c.Assert(<-done, qt.ErrorIs, test.writeErr)
--- a/mwlib/mwhttp/reset_test.go
+++ b/mwlib/mwhttp/reset_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -13,6 +14,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 
 	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwhttp"
@@ -45,8 +47,9 @@
 // The values of connEnd.
 const (
 	endByReset connEnd = "reset"
-	// endByClose closes the connection, which resets it if there is unread input.
 	endByClose connEnd = "close"
+	// endWithInput closes the connection while it has unread input, which resets it.
+	endWithInput connEnd = "close with unread input"
 	// endAndReadOn ends the direction of the answer only and reads the request.
 	endAndReadOn connEnd = "end of the answer, reading on"
 	// endAndClose ends the direction of the answer, and later closes the connection.
@@ -75,6 +78,8 @@
 	switch s.end {
 	case endByReset:
 		conn.SetLinger(0)
+	case endWithInput:
+		waitForInput(conn)
 	case endAndReadOn:
 		conn.CloseWrite()
 		io.Copy(io.Discard, conn)
@@ -84,6 +89,18 @@
 	}
 }
 
+// waitForInput waits until conn has unread input, or an error.
+func waitForInput(conn *net.TCPConn) {
+	rc, err := conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	rc.Read(func(fd uintptr) bool {
+		_, _, err := unix.Recvfrom(int(fd), make([]byte, 1), unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return !errors.Is(err, unix.EAGAIN)
+	})
+}
+
 // uploadSize is the size in bytes of an upload that doesn't fit into the buffers on
 // its way.
 const uploadSize = 8 << 20
@@ -146,7 +163,7 @@
 	}{
 		{"short part, reset at once", unframedServer{size: 100, end: endByReset}, uploadSize},
 		{"short part, reset later", unframedServer{size: 100, delay: 200 * time.Millisecond, end: endByReset}, uploadSize},
-		{"short part, closed with unread input", unframedServer{size: 100, delay: 20 * time.Millisecond, end: endByClose}, uploadSize},
+		{"short part, closed with unread input", unframedServer{size: 100, delay: 20 * time.Millisecond, end: endWithInput}, uploadSize},
 		{"part over the buffer's size", unframedServer{size: 90 << 10, delay: 20 * time.Millisecond, end: endByReset}, uploadSize},
 		{"long part", unframedServer{size: 300 << 10, delay: 200 * time.Millisecond, end: endByReset}, uploadSize},
 		{"held upload", unframedServer{size: 100, delay: 20 * time.Millisecond, end: endByReset}, 60 << 10},
