mwhttp: return the error of an answer's body at every later read

Callers saw: a part of an answer as a complete one, as the stored answer to the repetition of an order whose first caller had disconnected, or while the node had no memory to hold the answer.

Cause: linkBody returned the error of a body once, and io.EOF after that. A read of a body in chunks may return bytes and the error together. If the bytes could not be passed on, or not be charged, the error went with them, and the reading that followed, recordRest or the streaming of an answer that is not read ahead, found the end of a complete body. The reset of an answer without a length was lost in the same way, one level below.

Change: linkBody keeps the error and returns it again.

The bodies of net/http's Transport keep their error already.

--- a/mwlib/mwhttp/linkcall.go
+++ b/mwlib/mwhttp/linkcall.go
@@ -164,36 +164,36 @@
 	c    *linkCall
 	resp *http.Response
 	body io.ReadCloser
-	done bool
+	err  error // result of all reads once the call has ended
 }
 
-// Read reads from the answer's body.
+// Read reads from the answer's body. After an error, it returns that error again: a
+// reader that has ignored it must not find a complete body.
 func (b *linkBody) Read(p []byte) (int, error) {
-	if b.done {
-		return 0, io.EOF
+	if b.err != nil {
+		return 0, b.err
 	}
 	n, err := b.body.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.finish(b.c.requestWritten())
-	} else if err != nil {
-		b.finish(false)
+	if err != nil {
+		b.finish(err, errors.Is(err, io.EOF) && b.c.requestWritten())
 	}
 	return n, err
 }
 
 // Close closes the connection if the answer was not read to its end.
 func (b *linkBody) Close() error {
-	b.finish(false)
+	b.finish(http.ErrBodyReadAfterClose, false)
 	return nil
 }
 
-// finish ends the call. It releases the connection if it is usable and the
-// context of the call is not done, and closes it otherwise.
-func (b *linkBody) finish(usable bool) {
-	if b.done {
+// finish ends the call with err as the result of later reads. It releases the
+// connection if it is usable and the context of the call is not done, and closes it
+// otherwise.
+func (b *linkBody) finish(err error, usable bool) {
+	if b.err != nil {
 		return
 	}
-	b.done = true
+	b.err = err
 	if b.c.stop() && usable {
 		b.c.k.release(b.c.id, b.resp)
 		return
--- a/mwlib/mwhttp/memory_test.go
+++ b/mwlib/mwhttp/memory_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// An answer that breaks off in the bytes for which there is no memory is cut for the
+// caller too.
+func TestCutAnswerWithoutMemory(t *testing.T) {
+	c := qt.New(t)
+	for size := 1 << 10; size <= 16<<10; size += 500 {
+		s := newStack(t, http.NotFoundHandler(), mwhttp.WithDialect(bufferingDialect{}))
+		b := &fixedServer{answer: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" + strings.Repeat("a", size)}
+		s.announce(c, accept(c, b.serve), 1)
+		a := usedUp(c).Open(func() {})
+		var w *httptest.ResponseRecorder
+		aborted := isAborted(func() { w = serveWith(a, s.direct.Config.Handler, strings.NewReader("body")) })
+		c.Check(aborted || w.Code == http.StatusBadGateway, qt.IsTrue, qt.Commentf("%d bytes", size))
+	}
+}
+
+// isAborted calls f and reports whether it aborts its connection.
+func isAborted(f func()) (aborted bool) {
+	defer func() { aborted = recover() == http.ErrAbortHandler }()
+	f()
+	return false
+}
+
 // A call in progress must not be evicted.
 func TestCallInProgressIsPinned(t *testing.T) {
 	c := qt.New(t)
