mwkernel, platform: check the first heartbeat of a backend server too

Callers saw: orders went to a backend server that had left, up to 8 s after its node had acknowledged the leave (limit 2.5 s), and those still running at its end were lost.

Cause: a process that knows nothing of its VM's backend server checks the server's health before it accepts a heartbeat that may precede a leave. Heartbeats with Seq 1 were exempt since, as if the first one couldn't be late. It can be, like any other: the second one arrives, the backend server deregisters, the node restarts, and then the first one arrives.

Fix: the exemption is gone.

--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -110,7 +110,7 @@
 // Announce adds or renews the announcement of this VM's backend server. An
 // announcement older than the known one is ignored.
 func (k *Kernel) Announce(a mwcall.Announcement) error {
-	if err := checkAnnouncement(&a); err != nil {
+	if err := CheckAnnouncement(&a); err != nil {
 		return err
 	}
 	if !k.backends.update(a) {
@@ -127,13 +127,11 @@
 
 // MayBeOutdated reports whether a may be outdated although this process has no
 // newer announcement: the backend server may have told an earlier process on this
-// VM that it leaves, and a was sent before. That is not the case if a is its first
-// announcement, if it has not left since this process accepted an announcement of
-// it, or if this process has run for so long that it would know of the leave.
+// VM that it leaves, and a was sent before. That is not the case if it has not left
+// since this process accepted an announcement of it, or if this process has run for
+// so long that it would know of the leave. The first announcement of a backend server
+// is no exception, as it can be delayed like any other.
 func (k *Kernel) MayBeOutdated(a mwcall.Announcement) bool {
-	if a.Seq <= firstSeq {
-		return false
-	}
 	old, known := k.backends.m.Get(a.Service)
 	switch {
 	case !known:
@@ -153,10 +151,6 @@
 // before this process started.
 func (k *Kernel) MayPrecedeStart() bool { return time.Since(k.started) < maxAnnouncementDelay }
 
-// firstSeq is the sequence number of a backend server's first announcement after
-// its start.
-const firstSeq = 1
-
 // update stores a and returns true. If the stored announcement is not older
 // than a, update keeps it and returns false.
 func (b *backends) update(a mwcall.Announcement) bool {
@@ -176,7 +170,9 @@
 	return taken
 }
 
-func checkAnnouncement(a *mwcall.Announcement) error {
+// CheckAnnouncement returns an error with mwcode.BadValue if a can't be the announcement
+// of a backend server. It sets the default of a.TTL.
+func CheckAnnouncement(a *mwcall.Announcement) error {
 	if a.TTL == 0 {
 		a.TTL = DefaultTTL
 	}
