platform, mwkernel: a late leave ends only the start that it names

Callers saw: a backend server that had started again under its id got no work for a minute if the leave of its earlier start arrived after its first heartbeat.

Cause: the start time in the body of a deregistration was not read, so that it withdrew whatever ran under the id.

Fix: a deregistration with a start time withdraws only what started no later. One without a body or a start time withdraws as before.

--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -200,10 +200,11 @@
 }
 
 // WithdrawInstance withdraws the announcements of the backend server with the
-// given id, for all of its services. It does nothing if there are none.
-func (k *Kernel) WithdrawInstance(id mwid.InstanceID) {
+// given id, for all of its services, unless it started after started. A zero started
+// means any start. WithdrawInstance does nothing if there are none.
+func (k *Kernel) WithdrawInstance(id mwid.InstanceID, started time.Time) {
 	for _, a := range k.Announced() {
-		if a.Instance == id {
+		if a.Instance == id && (started.IsZero() || !a.Started.After(started)) {
 			k.log.Info("backend server announcement withdrawn", "Service", a.Service, "Instance", id)
 			k.Withdraw(a.Service)
 		}
