mwkernel, platform: remember a leave that comes before the first heartbeat

Callers saw: requests went to a backend server after its leave had been acknowledged, if the node had restarted shortly before the leave and a heartbeat from before it arrived later, or was waiting for the result of a health check at that moment.

Cause: a leave was recorded in the announcement that it withdrew. A process that had accepted none yet acknowledged the leave and forgot it. A health check only bridged that gap for a backend server that was not healthy any more when it was asked.

An announcement that may have been sent before a leave is ignored. If the leave names no start time and the backend server wasn't known, only a health check that began after the leave shows that the announcement is of a later start.

--- a/mwlib/mwcall/target.go
+++ b/mwlib/mwcall/target.go
@@ -59,4 +59,7 @@
 	TTL time.Duration
 	// Leaving means that the backend server takes no new work.
 	Leaving bool
+	// Checked is when the last health check that found the backend server healthy
+	// began, on the clock of this process. It is zero if there was none.
+	Checked time.Time
 }
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -33,6 +33,8 @@
 type backends struct {
 	k *Kernel
 	m *mwshard.Map[mwid.ServiceName, backend]
+	// departed are the backend servers that deregistered.
+	departed *mwshard.Map[mwid.InstanceID, departure]
 }
 
 // backend is the last announcement of the backend server of a service. The
@@ -64,7 +66,10 @@
 }
 
 func newBackends(k *Kernel) (*backends, func()) {
-	b := &backends{k: k, m: mwshard.New[mwid.ServiceName, backend](1)}
+	b := &backends{
+		k: k, m: mwshard.New[mwid.ServiceName, backend](1),
+		departed: mwshard.New[mwid.InstanceID, departure](1),
+	}
 	return b, mwtimer.Every(sweepPeriod, k.panics.Tick("announcements", b.sweep))
 }
 
@@ -87,7 +92,7 @@
 	return a, nil
 }
 
-// sweep deletes the expired entries. For each backend server that had not left,
+// sweep deletes the expired entries and departures. For each backend server that had not left,
 // it also tells the other nodes that its target is gone.
 func (b *backends) sweep(now time.Time) {
 	var expired []mwid.ServiceName
@@ -100,6 +105,9 @@
 		}
 		return true
 	})
+	b.departed.DeleteFunc(func(_ mwid.InstanceID, d departure) bool {
+		return now.Sub(d.at) >= withdrawnRetention
+	})
 	for _, s := range expired {
 		b.k.log.Info("backend server announcement expired", "Service", s)
 		b.k.admit.RefuseQueued(s)
@@ -113,10 +121,14 @@
 	if err := CheckAnnouncement(&a); err != nil {
 		return err
 	}
-	if !k.backends.update(a) {
+	if k.backends.hasLeft(a) || !k.backends.update(a) {
 		k.log.Info("outdated announcement ignored", "Service", a.Service, "Instance", a.Instance, "Seq", a.Seq)
 		return nil
 	}
+	if k.backends.hasLeft(a) { // WithdrawInstance ran before the update and missed it.
+		k.Withdraw(a.Service)
+		return nil
+	}
 	k.admit.Announce(a)
 	if a.Leaving {
 		k.admit.RefuseQueued(a.Service)
@@ -132,6 +144,9 @@
 // so long that it would know of the leave. The first announcement of a backend server
 // is no exception, as it can be delayed like any other.
 func (k *Kernel) MayBeOutdated(a mwcall.Announcement) bool {
+	if d, ok := k.backends.departed.Get(a.Instance); ok && d.covers(a) {
+		return d.started.IsZero() // Otherwise Announce ignores a.
+	}
 	old, known := k.backends.m.Get(a.Service)
 	switch {
 	case !known:
@@ -201,10 +216,13 @@
 
 // WithdrawInstance withdraws the announcements of the backend server with the
 // given id, for all of its services, unless it started after started. A zero started
-// means any start. WithdrawInstance does nothing if there are none.
+// means any start. Announcements that arrive later and were sent before are ignored,
+// also if this process knows none of that backend server yet.
 func (k *Kernel) WithdrawInstance(id mwid.InstanceID, started time.Time) {
+	k.backends.depart(id, started)
 	for _, a := range k.Announced() {
 		if a.Instance == id && (started.IsZero() || !a.Started.After(started)) {
+			k.backends.depart(id, a.Started)
 			k.log.Info("backend server announcement withdrawn", "Service", a.Service, "Instance", id)
 			k.Withdraw(a.Service)
 		}
