--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -92,8 +92,8 @@
 	return a, nil
 }
 
-// sweep deletes the expired entries and departures. For each backend server that had not left,
-// it also tells the other nodes that its target is gone.
+// sweep deletes the expired entries and departures. For each backend server that had
+// not left, it also tells the other nodes that its target is gone.
 func (b *backends) sweep(now time.Time) {
 	var expired []mwid.ServiceName
 	b.m.DeleteFunc(func(s mwid.ServiceName, v backend) bool {
