mwkernel, mwhttp: check late announcements of the own dialect too

Callers saw: in the product's own dialect, calls reached a backend server that had left, if its node restarted and an announcement from before the leave arrived then.

Cause: the decision whether an announcement may be outdated, and the health check, were in the platform's adapter. Announcements of the own dialect had no id, start time or sequence number, and reached Kernel.Announce without any check.

Change: the decision is Kernel.AnnounceChecked, and the check mwhttp.HealthChecker, with the names of the dialect's headers. An announcement of the own dialect may carry Instance, Started and Seq, and is then ordered and, after a restart, checked as on the platform; docs/PROTOCOL.md. A DELETE may name an instance. Announcements without Started are not ordered and not checked, as before: a backend server without a health path must still be announced at once.

Evidence: with the new fields decoded and passed to Kernel.Announce as before, four of seven rows of TestLateAnnouncementAfterARestart failed (leaving, another instance, no free slot, no health path). TestLateAnnouncementAfterALeave covers leaves that overtake an announcement. The tests of the adapter pass unchanged.

--- a/mwlib/mwcode/code.go
+++ b/mwlib/mwcode/code.go
@@ -144,6 +144,9 @@
 	LeaseLost Code = 4008
 	// Internal means that the system itself has a fault.
 	Internal Code = 4010
+	// Unconfirmed means that an announcement may be outdated, and that the health of
+	// the backend server can't be checked yet.
+	Unconfirmed Code = 4011
 )
 
 // First codes of the kinds; each is also the upper bound of the kind before it.
--- a/mwlib/mwcode/table.go
+++ b/mwlib/mwcode/table.go
@@ -66,6 +66,7 @@
 	StaleRead:          {StaleRead, "StaleRead", "a source offered a version below the current one"},
 	LeaseLost:          {LeaseLost, "LeaseLost", "the lease expired or was taken over"},
 	Internal:           {Internal, "Internal", "internal error"},
+	Unconfirmed:        {Unconfirmed, "Unconfirmed", "the backend server's health can't be checked yet; it should announce itself again"},
 }
 
 // Table returns the Entry of each Code, sorted by code.
--- a/mwlib/mwhttp/announce.go
+++ b/mwlib/mwhttp/announce.go
@@ -1,6 +1,7 @@
 package mwhttp
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"time"
@@ -21,10 +22,15 @@
 // maxAnnouncement is the maximum size of an announcement in bytes.
 const maxAnnouncement = 64 << 10
 
-// Announcement is the JSON form of mwcall.Announcement.
+// Announcement is the JSON form of mwcall.Announcement. Instance, Started and Seq are
+// optional: without Started, each announcement replaces the one before, in the order in
+// which they arrive.
 type Announcement struct {
 	Service     mwid.ServiceName
 	Address     mwid.Address
+	Instance    mwid.InstanceID `json:",omitempty"`
+	Started     time.Time       `json:",omitzero"`
+	Seq         uint64          `json:",omitempty"`
 	Slots       mwunit.Slots
 	Connections mwunit.Connections
 	Labels      mwlabel.Set       `json:",omitempty"`
@@ -35,14 +41,18 @@
 // announceHandler serves AnnouncePath.
 type announceHandler struct{ k *mwkernel.Kernel }
 
+// checker returns the health checker of the product's own dialect.
+func (a announceHandler) checker() HealthChecker {
+	return HealthChecker{Kernel: a.k, InstanceHeader: HeaderInstance, NotRunHeader: HeaderNotRun}
+}
+
 // ServeHTTP accepts an announcement by PUT and withdraws it by DELETE.
 func (a announceHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.Method {
 	case http.MethodPut:
 		a.put(w, r)
 	case http.MethodDelete:
-		a.k.Withdraw(mwid.ServiceName(r.URL.Query().Get("Service")))
-		w.WriteHeader(http.StatusNoContent)
+		a.delete(w, r)
 	default:
 		w.Header().Set("Allow", "PUT, DELETE")
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -58,18 +68,61 @@
 		err = mwcode.New(mwcode.BadDocument, mwcode.Wrap(err),
 			mwcode.Expected("an announcement as in docs/PROTOCOL.md"))
 	} else {
-		err = a.k.Announce(v.announcement())
+		err = a.announce(r.Context(), v)
 	}
 	if err != nil {
-		writeError(w, http.StatusBadRequest, err)
+		writeError(w, statusOfAnnouncement(err), err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// announce passes v to the kernel, which checks one with a start time if it may be
+// outdated.
+func (a announceHandler) announce(ctx context.Context, v Announcement) error {
+	switch {
+	case v.Started.IsZero():
+		return a.k.Announce(v.announcement())
+	case v.Instance == "":
+		return mwcode.New(mwcode.BadValue, mwcode.Field("Instance"), mwcode.Expected("an id, beside Started"))
+	}
+	return a.k.AnnounceChecked(ctx, v.announcement(), a.checker().Check)
+}
+
+// statusOfAnnouncement returns the status for an announcement that is rejected with
+// err.
+func statusOfAnnouncement(err error) int {
+	if mwcode.CodeOf(err) == mwcode.Unconfirmed {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
+// delete withdraws what the query names: the instance Instance, unless it started
+// after Started, or else the backend server of Service.
+func (a announceHandler) delete(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	var started time.Time
+	if v := q.Get("Started"); v != "" {
+		var err error
+		if started, err = time.Parse(time.RFC3339Nano, v); err != nil {
+			writeError(w, http.StatusBadRequest, mwcode.New(mwcode.BadValue, mwcode.Field("Started"), mwcode.Wrap(err),
+				mwcode.Expected("a time as in RFC 3339")))
+			return
+		}
+	}
+	if id := mwid.InstanceID(q.Get("Instance")); id != "" {
+		a.k.WithdrawInstance(id, started)
+	} else {
+		a.k.Withdraw(mwid.ServiceName(q.Get("Service")))
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (v Announcement) announcement() mwcall.Announcement {
 	return mwcall.Announcement{
-		Service: v.Service, Address: v.Address, Slots: v.Slots, Connections: v.Connections,
+		Service: v.Service, Address: v.Address, Instance: v.Instance, Started: v.Started, Seq: v.Seq,
+		Slots: v.Slots, Connections: v.Connections,
 		Labels: v.Labels, TTL: time.Duration(v.TTL), Leaving: v.Leaving,
 	}
 }
--- a/mwlib/mwhttp/header.go
+++ b/mwlib/mwhttp/header.go
@@ -40,6 +40,7 @@
 	HeaderElsewhere   = "Mw-Elsewhere"
 	HeaderThreshold   = "Mw-Threshold"
 	HeaderNotRun      = "Mw-Not-Run"
+	HeaderInstance    = "Mw-Instance"
 	HeaderLoad        = "Mw-Load"
 )
 
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -196,7 +196,10 @@
 }
 
 // newZone creates the cluster of one test and returns its availability zone.
-func newZone(t testing.TB) mwid.ZoneName {
+func newZone(t testing.TB) mwid.ZoneName { return newZoneOf(t, documents) }
+
+// newZoneOf is newZone with the given documents.
+func newZoneOf(t testing.TB, documents string) mwid.ZoneName {
 	c := qt.New(t)
 	docs, err := mwconfig.Decode("documents", strings.NewReader(documents))
 	c.Assert(err, qt.IsNil)
--- a/mwlib/mwkernel/backend.go
+++ b/mwlib/mwkernel/backend.go
@@ -118,7 +118,7 @@
 // Announce adds or renews the announcement of this VM's backend server. An
 // announcement older than the known one is ignored.
 func (k *Kernel) Announce(a mwcall.Announcement) error {
-	if err := CheckAnnouncement(&a); err != nil {
+	if err := checkAnnouncement(&a); err != nil {
 		return err
 	}
 	if k.backends.hasLeft(a) || !k.backends.update(a) {
@@ -137,35 +137,6 @@
 	return nil
 }
 
-// MayBeOutdated reports whether a may be outdated although this process has no
-// newer announcement: the backend server may have told an earlier process on this
-// VM that it leaves, and a was sent before. That is not the case if it has not left
-// since this process accepted an announcement of it, or if this process has run for
-// so long that it would know of the leave. The first announcement of a backend server
-// is no exception, as it can be delayed like any other.
-func (k *Kernel) MayBeOutdated(a mwcall.Announcement) bool {
-	if d, ok := k.backends.departed.Get(a.Instance); ok && d.covers(a) {
-		return d.started.IsZero() // Otherwise Announce ignores a.
-	}
-	old, known := k.backends.m.Get(a.Service)
-	switch {
-	case !known:
-		return true
-	case !old.olderThan(a):
-		return false // Announce ignores a.
-	}
-	serves := !old.Leaving && old.Instance == a.Instance && old.Started.Equal(a.Started)
-	return !serves && k.MayPrecedeStart()
-}
-
-// maxAnnouncementDelay is the maximum time from sending an announcement to its
-// arrival.
-const maxAnnouncementDelay = 10 * time.Second
-
-// MayPrecedeStart reports whether an announcement that arrives now may have been sent
-// before this process started.
-func (k *Kernel) MayPrecedeStart() bool { return time.Since(k.started) < maxAnnouncementDelay }
-
 // update stores a and returns true. If the stored announcement is not older
 // than a, update keeps it and returns false.
 func (b *backends) update(a mwcall.Announcement) bool {
@@ -185,9 +156,9 @@
 	return taken
 }
 
-// CheckAnnouncement returns an error with mwcode.BadValue if a can't be the announcement
-// of a backend server. It sets the default of a.TTL.
-func CheckAnnouncement(a *mwcall.Announcement) error {
+// checkAnnouncement returns mwcode.BadValue if a can't be the announcement of a backend
+// server. It sets the default of a.TTL.
+func checkAnnouncement(a *mwcall.Announcement) error {
 	if a.TTL == 0 {
 		a.TTL = DefaultTTL
 	}
