--- a/mwlib/mwhttp/announce.go
+++ b/mwlib/mwhttp/announce.go
@@ -52,7 +52,7 @@
 	case http.MethodPut:
 		a.put(w, r)
 	case http.MethodDelete:
-		a.delete(w, r)
+		a.withdraw(w, r)
 	default:
 		w.Header().Set("Allow", "PUT, DELETE")
 		w.WriteHeader(http.StatusMethodNotAllowed)
@@ -71,7 +71,7 @@
 		err = a.announce(r.Context(), v)
 	}
 	if err != nil {
-		writeError(w, statusOfAnnouncement(err), err)
+		writeError(w, AnnouncementStatus(err), err)
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -89,18 +89,18 @@
 	return a.k.AnnounceChecked(ctx, v.announcement(), a.checker().Check)
 }
 
-// statusOfAnnouncement returns the status for an announcement that is rejected with
-// err.
-func statusOfAnnouncement(err error) int {
+// AnnouncementStatus returns the HTTP status for an announcement that the kernel rejects
+// with err: 503 if the backend server should send another one, else 400.
+func AnnouncementStatus(err error) int {
 	if mwcode.CodeOf(err) == mwcode.Unconfirmed {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
 }
 
-// delete withdraws what the query names: the instance Instance, unless it started
+// withdraw withdraws what the query names: the instance Instance, unless it started
 // after Started, or else the backend server of Service.
-func (a announceHandler) delete(w http.ResponseWriter, r *http.Request) {
+func (a announceHandler) withdraw(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	var started time.Time
 	if v := q.Get("Started"); v != "" {
--- a/mwlib/mwhttp/fuzz_test.go
+++ b/mwlib/mwhttp/fuzz_test.go
@@ -78,6 +78,7 @@
 	front, _ := newNode(qt.New(f), newZone(f))
 	f.Add(`{"Service": "auftrag", "Address": "127.0.0.1:9001", "Slots": 90, "Connections": 660, "TTL": "3s"}`)
 	f.Add(`{"Service": "auftrag", "Slots": -1}`)
+	f.Add(`{"Service": "auftrag", "Address": "127.0.0.1:9001", "Slots": 9, "Connections": 9, "Instance": "i", "Started": "2026-12-07T12:00:00Z", "Seq": 1}`)
 	f.Add(`{"Unknown": 1}`)
 	f.Add(`[`)
 	local := front.Local()
@@ -89,6 +90,10 @@
 		if w.Code == http.StatusNoContent {
 			return
 		}
+		if w.Code == http.StatusServiceUnavailable {
+			c.Assert(w.Body.String(), qt.Contains, `"Code":4011`)
+			return
+		}
 		c.Assert(w.Code, qt.Equals, http.StatusBadRequest)
 		c.Assert(w.Body.String(), qt.Contains, `"Code":3`)
 	})
