--- a/mwlib/mwhttp/announce_test.go
+++ b/mwlib/mwhttp/announce_test.go
@@ -5,14 +5,16 @@
 	"net/http"
 	"net/http/httptest"
 	"net/url"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"mustardwheel.example/mwlib/mwcall"
 	"mustardwheel.example/mwlib/mwhttp"
-	"mustardwheel.example/mwlib/mwid"
+	"mustardwheel.example/mwlib/mwkernel"
 )
 
 // started is the start time of the backend servers in the tests of announcements.
@@ -22,8 +24,8 @@
 type announcer struct {
 	c       *qt.C
 	local   http.Handler
+	k       *mwkernel.Kernel
 	address string // address of the backend server
-	known   func() []mwid.InstanceID
 }
 
 // newAnnouncer runs a node and a backend server that answers health checks with health.
@@ -33,17 +35,12 @@
 	c.Cleanup(srv.Close)
 	front, k := newNode(c, newZoneOf(t, documents+`
 {"Kind": "Service", "Name": "checked", "Spec": {"Connections": 20, "HealthPath": "/health"}}`))
-	return &announcer{
-		c: c, local: front.Local(), address: strings.TrimPrefix(srv.URL, "http://"),
-		known: func() (ids []mwid.InstanceID) {
-			for _, a := range k.Announced() {
-				if !a.Leaving {
-					ids = append(ids, a.Instance)
-				}
-			}
-			return ids
-		},
-	}
+	return &announcer{c, front.Local(), k, strings.TrimPrefix(srv.URL, "http://")}
+}
+
+// known returns the announcements of backend servers that take work.
+func (a *announcer) known() []mwcall.Announcement {
+	return slices.DeleteFunc(a.k.Announced(), func(a mwcall.Announcement) bool { return a.Leaving })
 }
 
 // do sends a request to the node's local listener and returns the status.
@@ -73,59 +70,44 @@
 	}
 }
 
-// TestLateAnnouncementAfterARestart guards against work for a backend server that has
-// told an earlier process of its node that it leaves.
-func TestLateAnnouncementAfterARestart(t *testing.T) {
+// TestLateAnnouncement guards against work for a backend server that has told its node,
+// or an earlier process of it, that it leaves.
+func TestLateAnnouncement(t *testing.T) {
 	good := respond(200, mwhttp.HeaderInstance, "i-1")
+	leave := url.Values{"Instance": {"i-1"}, "Started": {started.Format(time.RFC3339Nano)}}.Encode()
+	next := started.Add(time.Second)
 	for _, test := range []struct {
 		name    string
+		before  string // order of the announcement before the leave, empty if there is none
+		leave   string // query of the leave, empty if there is none
 		service string
 		order   string
 		health  http.HandlerFunc
 		status  int
 		known   int
 	}{
-		{"running", "checked", order(started, 1), good, 204, 1},
-		{"leaving", "checked", order(started, 1), respond(503, mwhttp.HeaderInstance, "i-1"), 204, 0},
-		{"another instance", "checked", order(started, 1), respond(200, mwhttp.HeaderInstance, "i-2"), 204, 0},
-		{"no free slot", "checked", order(started, 1), respond(503, mwhttp.HeaderNotRun, "1"), 503, 0},
-		{"no health path", string(service), order(started, 1), good, 503, 0},
-		{"not ordered", "checked", "", respond(503), 204, 1},
-		{"start without an instance", "checked", `, "Started": "2026-12-07T12:00:00Z"`, good, 400, 0},
+		{"running", "", "", "checked", order(started, 1), good, 204, 1},
+		{"leaving", "", "", "checked", order(started, 1), respond(503, mwhttp.HeaderInstance, "i-1"), 204, 0},
+		{"another instance", "", "", "checked", order(started, 1), respond(200, mwhttp.HeaderInstance, "i-2"), 204, 0},
+		{"no free slot", "", "", "checked", order(started, 1), respond(503, mwhttp.HeaderNotRun, "1"), 503, 0},
+		{"no health path", "", "", string(service), order(started, 1), good, 503, 0},
+		{"not ordered", "", "", "checked", "", respond(503), 204, 1},
+		{"start without an instance", "", "", "checked", `, "Started": "2026-12-07T12:00:00Z"`, good, 400, 0},
+		{"known left", order(started, 2), leave, "checked", order(started, 1), good, 204, 0},
+		{"unknown left", "", leave, "checked", order(started, 1), good, 204, 0},
+		{"later start", order(started, 2), leave, "checked", order(next, 1), good, 204, 1},
+		{"an earlier start left", order(next, 1), leave, "checked", order(next, 2), good, 204, 1},
+		{"malformed leave", order(started, 1), "Instance=i-1&Started=noon", "checked", order(started, 2), good, 204, 1},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			a := newAnnouncer(t, test.health)
-			a.c.Check(a.put(test.service, test.order), qt.Equals, test.status)
-			a.c.Check(a.known(), qt.HasLen, test.known)
-		})
-	}
-}
-
-// TestLateAnnouncementAfterALeave guards against work for a backend server whose leave
-// overtakes an earlier announcement.
-func TestLateAnnouncementAfterALeave(t *testing.T) {
-	leave := url.Values{"Instance": {"i-1"}, "Started": {started.Format(time.RFC3339Nano)}}.Encode()
-	for _, test := range []struct {
-		name   string
-		first  string // order of the announcement before the leave, empty if there is none
-		leave  string
-		status int
-		late   string
-		known  int
-	}{
-		{"known", order(started, 2), leave, 204, order(started, 1), 0},
-		{"not known", "", leave, 204, order(started, 1), 0},
-		{"later start", order(started, 2), leave, 204, order(started.Add(time.Second), 1), 1},
-		{"leave of an earlier start", order(started.Add(time.Second), 1), leave, 204, order(started.Add(time.Second), 2), 1},
-		{"malformed leave", order(started, 1), "Instance=i-1&Started=noon", 400, order(started, 2), 1},
-	} {
-		t.Run(test.name, func(t *testing.T) {
-			a := newAnnouncer(t, respond(200, mwhttp.HeaderInstance, "i-1"))
-			if test.first != "" {
-				a.c.Check(a.put("checked", test.first), qt.Equals, http.StatusNoContent)
+			if test.before != "" {
+				a.c.Check(a.put("checked", test.before), qt.Equals, http.StatusNoContent)
 			}
-			a.c.Check(a.do(http.MethodDelete, test.leave, ""), qt.Equals, test.status)
-			a.c.Check(a.put("checked", test.late), qt.Equals, http.StatusNoContent)
+			if test.leave != "" {
+				a.c.Check(a.do(http.MethodDelete, test.leave, "") == http.StatusNoContent, qt.Equals, test.leave == leave)
+			}
+			a.c.Check(a.put(test.service, test.order), qt.Equals, test.status)
 			a.c.Check(a.known(), qt.HasLen, test.known)
 		})
 	}
