--- a/mwlib/mwhttp/announce_test.go
+++ b/mwlib/mwhttp/announce_test.go
@@ -33,8 +33,7 @@
 	c := qt.New(t)
 	srv := httptest.NewServer(health)
 	c.Cleanup(srv.Close)
-	front, k := newNode(c, newZoneOf(t, documents+`
-{"Kind": "Service", "Name": "checked", "Spec": {"Connections": 20, "HealthPath": "/health"}}`))
+	front, k := newNode(c, newZone(t))
 	return &announcer{c, front.Local(), k, strings.TrimPrefix(srv.URL, "http://")}
 }
 
--- a/mwlib/mwhttp/stack_test.go
+++ b/mwlib/mwhttp/stack_test.go
@@ -33,8 +33,10 @@
 // service is the service that the tests call.
 const service mwid.ServiceName = "auftrag"
 
-// documents make GET requests repeatable with a budget of one retry.
+// documents make GET requests repeatable with a budget of one retry. The service checked
+// has a health path.
 const documents = `
+{"Kind": "Service", "Name": "checked", "Spec": {"Connections": 20, "HealthPath": "/health"}}
 {"Kind": "RequestLabel", "Name": "reads", "Spec": {"Method": "GET", "Labels": {"Work": "read"}}}
 {"Kind": "Selector", "Name": "reads", "Spec": {"On": "Request", "Terms": [{"Label": "Work", "In": ["read"]}]}}
 {"Kind": "Policy", "Name": "reads", "Spec": {"Requests": "reads", "Repeatable": true, "Retries": 1}}
@@ -196,10 +198,7 @@
 }
 
 // newZone creates the cluster of one test and returns its availability zone.
-func newZone(t testing.TB) mwid.ZoneName { return newZoneOf(t, documents) }
-
-// newZoneOf is newZone with the given documents.
-func newZoneOf(t testing.TB, documents string) mwid.ZoneName {
+func newZone(t testing.TB) mwid.ZoneName {
 	c := qt.New(t)
 	docs, err := mwconfig.Decode("documents", strings.NewReader(documents))
 	c.Assert(err, qt.IsNil)
