platform, mwversion: show where a node stands in the store

A Source's offer below the version in force is logged and counted as stale, as the offers of the table and of other nodes are.

--- a/mwlib/mwversion/install.go
+++ b/mwlib/mwversion/install.go
@@ -110,13 +110,19 @@
 func (f *Fanout) rejectStale(o origin, v, current mwid.Version) error {
 	err := mwcode.New(mwcode.StaleRead, mwcode.Expected(fmt.Sprintf("a version above %d, not %d", current, v)))
 	if v < current {
-		f.stat.countStale(o)
-		f.log.Warn("stale configuration ignored", "Code", int(mwcode.StaleRead),
-			"Version", v, "InForce", current, "Origin", o)
+		f.noteStale(o, v, current)
 	}
 	return err
 }
 
+// noteStale counts and logs an offer of version v, which is below version current
+// in force.
+func (f *Fanout) noteStale(o origin, v, current mwid.Version) {
+	f.stat.countStale(o)
+	f.log.Warn("stale configuration ignored", "Code", int(mwcode.StaleRead),
+		"Version", v, "InForce", current, "Origin", o)
+}
+
 // refuse counts and logs a configuration that can't be put in force, and
 // returns err.
 func (f *Fanout) refuse(o origin, v mwid.Version, err error) error {
--- a/mwlib/mwversion/source.go
+++ b/mwlib/mwversion/source.go
@@ -46,7 +46,11 @@
 
 // Install implements Installer.
 func (f *Fanout) Install(w mwconfig.Whole) error {
-	if w.Version <= f.version() {
+	switch current := f.version(); {
+	case w.Version < current:
+		f.noteStale(fromStore, w.Version, current)
+		return nil
+	case w.Version == current:
 		return nil
 	}
 	return f.installWhole(fromStore, w)
