mwfakestore: a store can come back from a copy

Copy and Restore play a store that loses what it acknowledged since a copy was taken and gives its revisions out again, as those of the platform's stand-in do. Tests of what keeps a revision need it.

TestRestore restores one copy twice, with rows and objects written in between.

--- a/mwlib/mwfakestore/store_test.go
+++ b/mwlib/mwfakestore/store_test.go
@@ -127,6 +127,35 @@
 	})
 }
 
+// A copy can be restored more than once, whatever is written in between.
+func TestRestore(t *testing.T) {
+	c := qt.New(t)
+	ctx := context.Background()
+	s, stop := mwfakestore.New()
+	defer stop()
+	first, err := s.Commit(ctx, txn("a", 0, "1"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.PutObject(ctx, "o", []byte("1")), qt.IsNil)
+	old := s.Copy()
+	for range 2 {
+		_, err = s.Commit(ctx, txn("a", first.Revision, "2"))
+		c.Assert(err, qt.IsNil)
+		lost, err := s.Commit(ctx, txn("b", 0, "lost"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.PutObject(ctx, "o", []byte("2")), qt.IsNil)
+		s.Restore(old)
+		rows, err := s.Scan(ctx, "", "", 9)
+		c.Assert(err, qt.IsNil)
+		c.Assert(rows, qt.DeepEquals, []mwstore.Row{{Key: "a", Value: []byte("1"), Revision: first.Revision}})
+		o, err := s.GetObject(ctx, "o")
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(o), qt.Equals, "1")
+		again, err := s.Commit(ctx, txn("c", 0, "other"))
+		c.Assert(err, qt.IsNil)
+		c.Assert(again.Revision < lost.Revision, qt.IsTrue)
+	}
+}
+
 func TestRates(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := qt.New(t)
