mwlease: a restored store breaks no lease

After the store came back from a copy some seconds old, a holder whose last renewals the copy lacked lost its lease although nobody else wanted it, with LeaseLost after nine tenths of the TTL. A holder whose whole lease the copy lacked kept it beside a later holder: its fenced writes took effect, and its renewal took the row from the later one.

Cause: the conditions were revisions of rows that all holders share, and a restored store gives revisions out again. The later holder's fence row had the revision that is the former one's token. A read below the last known revision counted as stale for good, so each later renewal conflicted.

Each holder has a fence row of its own, which the next holder deletes in the transaction that takes the lease over. Nobody else writes it, so its check holds only in a history that knows this holder as the last one. Renewal and release include it. A renewal that conflicts takes the revision that it reads, also a lower one; if the row names another, a transaction with the fence alone decides, as a read may be stale. tryAcquire no longer returns an error that was always nil.

Holders of an earlier build have another fence row; no program uses leases today.

--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -39,6 +39,14 @@
 	}
 }
 
+// fencedTxn is like txn, with the fence. A revision alone doesn't say whose row it is: a
+// store that comes back from a copy gives revisions out again.
+func (l *Lease) fencedTxn(s state, rev mwid.Revision) mwstore.Txn {
+	t := l.txn(s, rev)
+	t.Checks = append(t.Checks, l.Fence())
+	return t
+}
+
 // acquire waits until the lease is free, or until its row has not changed for
 // the TTL, and takes it.
 func (l *Lease) acquire(ctx context.Context) error {
@@ -50,8 +58,8 @@
 		switch {
 		case err != nil:
 		case s.Free || rev == watched && now.Sub(since) >= s.TTL:
-			if done, err := l.tryAcquire(ctx, rev); done || err != nil {
-				return err
+			if l.tryAcquire(ctx, s, rev) {
+				return nil
 			}
 		case rev != watched:
 			watched, since = rev, now
@@ -62,11 +70,15 @@
 	}
 }
 
-// tryAcquire writes this holder to the row if the row has revision rev. The same
-// transaction writes the fence row, whose new revision is the token.
-func (l *Lease) tryAcquire(ctx context.Context, rev mwid.Revision) (done bool, err error) {
+// tryAcquire writes this holder to the row if the row, read as s, has revision rev. The
+// same transaction writes this holder's fence row, whose new revision is the token, and
+// deletes that of the last holder.
+func (l *Lease) tryAcquire(ctx context.Context, s state, rev mwid.Revision) (done bool) {
 	t := l.txn(l.state(), rev)
-	t.Writes = append(t.Writes, mwstore.Write{Key: fenceKey(l.key), Value: []byte(l.holder)})
+	t.Writes = append(t.Writes, mwstore.Write{Key: l.fenceKey(l.holder), Value: []byte(l.holder)})
+	if s.Holder != "" && s.Holder != l.holder {
+		t.Writes = append(t.Writes, mwstore.Write{Key: l.fenceKey(s.Holder), Delete: true})
+	}
 	sent := time.Now()
 	r, err := l.table.Commit(ctx, t)
 	newRev := r.Revision
@@ -75,14 +87,14 @@
 	case mwcode.StoreUnknown:
 		s, cur, err := l.readRow(ctx)
 		if err != nil || s.Holder != l.holder || s.Free {
-			return false, nil
+			return false
 		}
 		newRev = cur
 	default:
-		return false, nil // acquire retries.
+		return false // acquire retries.
 	}
 	l.token, l.rev, l.renewedAt = Token(newRev), newRev, sent
-	return true, nil
+	return true
 }
 
 func (l *Lease) state() state { return state{Holder: l.holder, TTL: l.ttl} }
@@ -98,11 +110,13 @@
 	rev := l.rev
 	l.mu.Unlock()
 	sent := time.Now()
-	r, err := l.table.Commit(ctx, l.txn(l.state(), rev))
+	r, err := l.table.Commit(ctx, l.fencedTxn(l.state(), rev))
 	switch mwcode.CodeOf(err) {
 	case mwcode.OK:
 		l.setRenewed(r.Revision, sent)
-	case mwcode.Conflict, mwcode.StoreUnknown:
+	case mwcode.Conflict: // The row has another revision, maybe a lower one.
+		l.checkRenewal(ctx, 0)
+	case mwcode.StoreUnknown:
 		l.checkRenewal(ctx, rev)
 	}
 	return l.Held() == nil
@@ -114,22 +128,28 @@
 	l.rev, l.renewedAt = rev, sent
 }
 
-// checkRenewal reads the row after a renewal over revision rev conflicted or had
-// an unknown outcome. If the row still names this holder, the time at which a
-// renewal took effect is unknown, so the lease is still counted from the last
+// checkRenewal reads the row after a renewal conflicted or had an unknown outcome. A read
+// of a revision below least is stale. If the row still names this holder, the time at
+// which a renewal took effect is unknown, so the lease is still counted from the last
 // write known to be accepted.
-func (l *Lease) checkRenewal(ctx context.Context, rev mwid.Revision) {
+func (l *Lease) checkRenewal(ctx context.Context, least mwid.Revision) {
 	s, cur, err := l.readRow(ctx)
-	if err != nil || cur < rev {
+	if err != nil || cur < least {
 		return // A failed or stale read gives no information.
 	}
+	mine := s.Holder == l.holder && !s.Free
+	if !mine {
+		// The read may still be stale; a transaction is not.
+		_, err = l.table.Commit(ctx, mwstore.Txn{Checks: []mwstore.Check{l.Fence()}})
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if s.Holder != l.holder || s.Free {
+	switch {
+	case mine:
+		l.rev = cur
+	case mwcode.CodeOf(err) == mwcode.Conflict:
 		l.markLost()
-		return
 	}
-	l.rev = cur
 }
 
 // releaseTimeout is the timeout of the write that releases a lease.
@@ -148,7 +168,7 @@
 	defer cancel()
 	s := l.state()
 	s.Free = true
-	_, _ = l.table.Commit(ctx, l.txn(s, rev))
+	_, _ = l.table.Commit(ctx, l.fencedTxn(s, rev))
 }
 
 // wait waits for d. If ctx is done first, it returns the cause.
--- a/mwlib/mwlease/lease.go
+++ b/mwlib/mwlease/lease.go
@@ -28,8 +28,12 @@
 //
 // A holder may still be paused between reading its clock and acting on it. A
 // transaction that must not happen after the expiry therefore includes the fence:
-// a check of a row that changes with each new holder, but not with a renewal.
-// Outside the table, the Token has the same purpose, since it only increases.
+// a check of a row of its own, which only the next holder deletes. Outside the table,
+// the Token has the same purpose, since it only increases.
+//
+// If the store comes back from a copy, the lease is what the copy says. A holder that
+// the copy does not know fails the fence, since no other writes its row, and detects
+// the loss with its next renewal; until then, Held and Token can't tell.
 type Lease struct {
 	table  mwstore.Table
 	key    mwstore.Key
@@ -114,7 +118,7 @@
 // Fence returns a check that makes a transaction fail if another holder has
 // taken the lease over.
 func (l *Lease) Fence() mwstore.Check {
-	return mwstore.Check{Key: fenceKey(l.key), Revision: mwid.Revision(l.token)}
+	return mwstore.Check{Key: l.fenceKey(l.holder), Revision: mwid.Revision(l.token)}
 }
 
 // Lost returns a channel that is closed when the lease is lost or released. A
@@ -150,5 +154,5 @@
 	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
 }
 
-// fenceKey returns the key of the row that changes with each new holder.
-func fenceKey(k mwstore.Key) mwstore.Key { return k + "/Fence" }
+// fenceKey returns the key of the row that exists while h is the last holder.
+func (l *Lease) fenceKey(h HolderID) mwstore.Key { return l.key + "/Fence/" + mwstore.Key(h) }
--- a/mwlib/mwlease/lease_test.go
+++ b/mwlib/mwlease/lease_test.go
@@ -129,3 +129,17 @@
 		c.Assert(err, qt.IsNil)
 	})
 }
+
+// A stale read after a renewal without an answer must not cost the next renewal.
+func TestStaleReadAfterADroppedRenewal(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		l, release := acquire(c, s)
+		defer release()
+		time.Sleep(4 * time.Second) // One renewal takes effect.
+		s.SetFaults(mwfakestore.Faults{Dropped: 1, Stale: 1})
+		time.Sleep(4 * time.Second) // One is dropped.
+		s.SetFaults(mwfakestore.Faults{})
+		time.Sleep(time.Minute)
+		c.Assert(l.Held(), qt.IsNil)
+	})
+}
