mwlease: a waiter recognizes a write that has a revision it watched

After the store came back from a copy, a waiter took the lease of a live holder over: two processes held it until the first one's next renewal.

Cause: a waiter took the holder for dead if the row's revision stayed the same for the TTL. A restored store gives the revision out again, to the write of another holder.

Evidence: TestWaiterThatWatchedAnEarlierHolder failed before: the live holder got LeaseLost, and the waiter the lease.

Each write of the row has a random id. The waiter compares the whole row and its revision, so a row of an earlier build, without an id, is handled as before.

--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -47,22 +47,29 @@
 	return t
 }
 
+// sighting is a row as a waiter read it. Both parts differ for each write; the revision
+// alone does not if the store comes back from a copy.
+type sighting struct {
+	state
+	rev mwid.Revision
+}
+
 // acquire waits until the lease is free, or until its row has not changed for
 // the TTL, and takes it.
 func (l *Lease) acquire(ctx context.Context) error {
-	var watched mwid.Revision
+	var watched sighting
 	var since time.Time
 	for {
 		s, rev, err := l.readRow(ctx)
-		now := time.Now()
+		now, seen := time.Now(), sighting{s, rev}
 		switch {
 		case err != nil:
-		case s.Free || rev == watched && now.Sub(since) >= s.TTL:
+		case s.Free || seen == watched && now.Sub(since) >= s.TTL:
 			if l.tryAcquire(ctx, s, rev) {
 				return nil
 			}
-		case rev != watched:
-			watched, since = rev, now
+		case seen != watched:
+			watched, since = seen, now
 		}
 		if err := wait(ctx, l.ttl/renewDivisor); err != nil {
 			return mwcode.New(mwcode.LeaseLost, mwcode.Wrap(err))
@@ -97,7 +104,10 @@
 	return true
 }
 
-func (l *Lease) state() state { return state{Holder: l.holder, TTL: l.ttl} }
+// state returns the row of one write.
+func (l *Lease) state() state {
+	return state{Holder: l.holder, TTL: l.ttl, Write: WriteID(mwid.NewAttemptID())}
+}
 
 // renew renews the lease and reports whether it is still held.
 func (l *Lease) renew(ctx context.Context) bool {
--- a/mwlib/mwlease/lease.go
+++ b/mwlib/mwlease/lease.go
@@ -51,6 +51,9 @@
 // HolderID identifies one holder of a lease.
 type HolderID string
 
+// WriteID identifies one write of the row of a lease.
+type WriteID string
+
 // Token is the fencing token of a holder. Each later holder has a greater token.
 type Token mwid.Revision
 
@@ -62,6 +65,8 @@
 	TTL time.Duration
 	// Free is set when the last holder has released the lease.
 	Free bool
+	// Write differs for each write, also if the store gives a revision out again.
+	Write WriteID
 }
 
 // options are the settings of Acquire.
--- a/mwlib/mwlease/restore_test.go
+++ b/mwlib/mwlease/restore_test.go
@@ -55,3 +55,38 @@
 		c.Check(commitFenced(s, b), qt.Equals, mwcode.OK)
 	})
 }
+
+// A waiter must not take a lease over because another holder's row has the revision that
+// the waiter watched before the store came back from a copy.
+func TestWaiterThatWatchedAnEarlierHolder(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		empty := s.Copy()
+		p := &pausedTable{Table: s}
+		_, releaseA := acquire(c, p)
+		defer releaseA()
+		p.blocked.Store(true)
+		wait := acquireInBackground(c, s, 2*time.Minute)
+		time.Sleep(11 * time.Second) // The waiter has one more look before it takes over.
+		s.Restore(empty)
+		l, release := acquire(c, s)
+		defer release()
+		time.Sleep(time.Minute)
+		c.Check(l.Held(), qt.IsNil)
+		c.Check(wait(), qt.Equals, mwcode.LeaseLost)
+	})
+}
+
+// acquireInBackground waits for the lease for up to d. The returned function returns the
+// result.
+func acquireInBackground(c *qt.C, s mwstore.Table, d time.Duration) func() mwcode.Code {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	result := make(chan error, 1)
+	go func() {
+		_, release, err := mwlease.Acquire(ctx, s, key)
+		if err == nil {
+			c.Cleanup(release)
+		}
+		result <- err
+	}()
+	return func() mwcode.Code { defer cancel(); return mwcode.CodeOf(<-result) }
+}
