mwlease: a waiter that could not read watches anew

A waiter that could not read for the TTL, while the holder renewed its lease, took it over if the store then came back from a copy with the row that the waiter had watched: two processes held it until the first one's next renewal.

Cause: the waiter counted the time without reads as time without writes, and relied on the row to tell. After a restore it doesn't.

Evidence: TestWaiterThatSawNoRenewal failed before: the live holder got LeaseLost, and the waiter the lease.

A failed read starts the watch anew. After an outage, a waiter takes a dead holder's lease up to the TTL later than before. Two restores within one TTL were not tested.

--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -54,8 +54,8 @@
 	rev mwid.Revision
 }
 
-// acquire waits until the lease is free, or until its row has not changed for
-// the TTL, and takes it.
+// acquire waits until the lease is free, or until its row has not changed in any read
+// for the TTL, and takes it.
 func (l *Lease) acquire(ctx context.Context) error {
 	var watched sighting
 	var since time.Time
@@ -64,6 +64,8 @@
 		now, seen := time.Now(), sighting{s, rev}
 		switch {
 		case err != nil:
+			// The row may change meanwhile and be as before in a copy of the store.
+			watched = sighting{}
 		case s.Free || seen == watched && now.Sub(since) >= s.TTL:
 			if l.tryAcquire(ctx, s, rev) {
 				return nil
--- a/mwlib/mwlease/restore_test.go
+++ b/mwlib/mwlease/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -90,3 +91,38 @@
 	}()
 	return func() mwcode.Code { defer cancel(); return mwcode.CodeOf(<-result) }
 }
+
+// A waiter that could not read the row while its holder renewed it must not take the lease
+// over because the store came back from a copy with the row that the waiter had watched.
+func TestWaiterThatSawNoRenewal(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		l, release := acquire(c, s)
+		defer release()
+		w := &link{Table: s}
+		wait := acquireInBackground(c, w, 2*time.Minute)
+		time.Sleep(time.Second)
+		old := s.Copy()
+		w.cut.Store(true)
+		time.Sleep(12 * time.Second)
+		s.Restore(old)
+		w.cut.Store(false)
+		time.Sleep(500 * time.Millisecond)
+		c.Check(l.Held(), qt.IsNil)
+		time.Sleep(time.Minute)
+		c.Check(l.Held(), qt.IsNil)
+		c.Check(wait(), qt.Equals, mwcode.LeaseLost)
+	})
+}
+
+// link is a table whose reads fail while it is cut.
+type link struct {
+	mwstore.Table
+	cut atomic.Bool
+}
+
+func (l *link) Get(ctx context.Context, k mwstore.Key) (mwstore.Row, error) {
+	if l.cut.Load() {
+		return mwstore.Row{}, mwcode.New(mwcode.StoreAway)
+	}
+	return l.Table.Get(ctx, k)
+}
