mwclaim: NotRun doesn't replace a claim at a revision given out again

A caller could get a call with a key run once more: a claimant whose row was lost when the store came back from a copy, and which then did not run, recorded NotRun over the row of another claimant that was running. The key counted as free, and a further attempt got it.

Cause: the write was conditional on the revision of the claimant's own row, and the restored store had given that revision to the other row.

Evidence: TestNotRunOverARevisionThatWasGivenOutAgain failed before: OK instead of Conflict for the record, and OK instead of Held for the further attempt. TestSchedules passes with 3,000 schedules.

A claimant reads the row before it writes NotRun, and finds the other claimant's id. That is one read more for each call that was granted and did not run. Records with an answer are written as before: the call did run, and one that replaces another claim keeps further attempts out.

--- a/mwlib/mwclaim/claim.go
+++ b/mwlib/mwclaim/claim.go
@@ -140,7 +140,9 @@
 // has this claimant and the state of r. It returns mwcode.Conflict if the row
 // belongs to another claimant that may have run.
 func (c *claim) overwrite(ctx context.Context, r Record) error {
-	rev, known := c.rev, c.rev != 0
+	// A store that came back from a copy may have given the revision to the row of a
+	// running claimant, which NotRun must not replace.
+	rev, known := c.rev, c.rev != 0 && r.State != NotRun
 	for range maxRounds {
 		if !known {
 			cur, n, exists, err := c.l.read(ctx, c.key)
