--- a/mwlib/mwclaim/restore_test.go
+++ b/mwlib/mwclaim/restore_test.go
@@ -23,3 +23,15 @@
 		w.Check(w.code(w.a, newCall("k", false)), qt.Equals, mwcode.Held)
 	})
 }
+
+// A key whose claimant ran must not be granted again because the store lost its row.
+func TestClaimThatTheCopyDoesNotKnow(t *testing.T) {
+	withLedgerPair(t, func(w ledgerPair) {
+		empty := w.store.Copy()
+		cl, err := w.a.Claim(callerContext(w), newCall("k", true))
+		w.Assert(err, qt.IsNil)
+		w.Assert(cl.Begin(), qt.IsNil)
+		w.store.Restore(empty)
+		w.Check(w.code(w.b, newCall("k", false)), qt.Not(qt.Equals), mwcode.OK)
+	})
+}
--- a/mwlib/mwlease/restore_test.go
+++ b/mwlib/mwlease/restore_test.go
@@ -126,3 +126,31 @@
 	}
 	return l.Table.Get(ctx, k)
 }
+
+// Nobody must get a lease that the copy shows as free while its holder counts it as held.
+func TestHolderThatTheCopyDoesNotKnow(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		empty := s.Copy()
+		a, releaseA := acquire(c, s)
+		defer releaseA()
+		time.Sleep(time.Second)
+		s.Restore(empty)
+		_, releaseB := acquire(c, s)
+		defer releaseB()
+		c.Check(mwcode.CodeOf(a.Held()), qt.Equals, mwcode.LeaseLost)
+	})
+}
+
+// Tokens increase with each holder, also if the store came back from a copy.
+func TestTokenOfALaterHistory(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		empty := s.Copy()
+		a, releaseA := acquire(c, s)
+		defer releaseA()
+		s.Restore(empty)
+		time.Sleep(time.Minute)
+		b, releaseB := acquire(c, s)
+		defer releaseB()
+		c.Check(b.Token() > a.Token(), qt.IsTrue, qt.Commentf("%d after %d", b.Token(), a.Token()))
+	})
+}
