mwlease: a takeover checks whose lease it ends

If the store came back from a copy between a waiter's read and its write, and another process got the lease at the revision that the waiter had read, the waiter took it over at once: both held it.

Cause: the write was conditional on the revision of the row alone, which doesn't say whose row it is after a restore.

Evidence: TestRestoreDuringATakeover failed before: the waiter got the lease that the other process held.

The write is also conditional on the fence row of the holder that the waiter read. That row is the holder's own, and whoever took the lease from it has deleted it.

--- a/mwlib/mwlease/hold.go
+++ b/mwlib/mwlease/hold.go
@@ -85,8 +85,8 @@
 func (l *Lease) tryAcquire(ctx context.Context, s state, rev mwid.Revision) (done bool) {
 	t := l.txn(l.state(), rev)
 	t.Writes = append(t.Writes, mwstore.Write{Key: l.fenceKey(l.holder), Value: []byte(l.holder)})
-	if s.Holder != "" && s.Holder != l.holder {
-		t.Writes = append(t.Writes, mwstore.Write{Key: l.fenceKey(s.Holder), Delete: true})
+	if s.Holder != "" && !l.addLastFence(ctx, &t, s) {
+		return false
 	}
 	sent := time.Now()
 	r, err := l.table.Commit(ctx, t)
@@ -106,6 +106,25 @@
 	return true
 }
 
+// addLastFence adds to t that the fence row of the last holder, named by s, still exists,
+// as the revision of the lease's row doesn't say whose row it is, and that another holder
+// deletes it. It returns false if the row is gone or can't be read.
+func (l *Lease) addLastFence(ctx context.Context, t *mwstore.Txn, s state) bool {
+	k := l.fenceKey(s.Holder)
+	row, err := l.table.Get(ctx, k)
+	if mwcode.CodeOf(err) == mwcode.NotFound && s.Write == "" {
+		return true // Holders of an earlier build have no such row.
+	}
+	if err != nil {
+		return false
+	}
+	t.Checks = append(t.Checks, mwstore.Check{Key: k, Revision: row.Revision})
+	if s.Holder != l.holder {
+		t.Writes = append(t.Writes, mwstore.Write{Key: k, Delete: true})
+	}
+	return true
+}
+
 // state returns the row of one write.
 func (l *Lease) state() state {
 	return state{Holder: l.holder, TTL: l.ttl, Write: WriteID(mwid.NewAttemptID())}
--- a/mwlib/mwlease/restore_test.go
+++ b/mwlib/mwlease/restore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -154,3 +155,37 @@
 		c.Check(b.Token() > a.Token(), qt.IsTrue, qt.Commentf("%d after %d", b.Token(), a.Token()))
 	})
 }
+
+// A waiter must not take over a lease that another got, at the revision that the waiter
+// read, because the store came back from a copy before the waiter's write.
+func TestRestoreDuringATakeover(t *testing.T) {
+	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
+		empty := s.Copy()
+		_, releaseA := acquire(c, s)
+		releaseA()
+		var l *mwlease.Lease
+		w := &hookedTable{Table: s, before: func() {
+			s.Restore(empty)
+			_, err := s.Commit(context.Background(), mwstore.Txn{})
+			c.Assert(err, qt.IsNil)
+			var release func()
+			l, release = acquire(c, s)
+			c.Cleanup(release)
+		}}
+		wait := acquireInBackground(c, w, time.Minute)
+		c.Check(wait(), qt.Equals, mwcode.LeaseLost)
+		c.Check(l.Held(), qt.IsNil)
+	})
+}
+
+// hookedTable is a table that calls before once, before its first commit.
+type hookedTable struct {
+	mwstore.Table
+	once   sync.Once
+	before func()
+}
+
+func (h *hookedTable) Commit(ctx context.Context, t mwstore.Txn) (mwstore.Receipt, error) {
+	h.once.Do(h.before)
+	return h.Table.Commit(ctx, t)
+}
