mwcluster: let nodes follow a Source

Tests of a whole system with the platform's store need nodes that follow its feed instead of the table of mwoperator. WithSource is like WithStoreWrapper; a node closes its Source after it has stopped.

--- a/mwlib/mwcluster/cluster.go
+++ b/mwlib/mwcluster/cluster.go
@@ -38,6 +38,7 @@
 	log       *slog.Logger
 	wrapStore func(mwstore.Store, mwmemnet.Place) mwstore.Store
 	wrapPeers func(mwkernel.Peers, mwmemnet.Place) mwkernel.Peers
+	newSource func(mwmemnet.Place) (mwversion.Source, func())
 }
 
 // Option changes a setting of the Cluster that New returns.
@@ -59,6 +60,13 @@
 	return func(o *options) { o.wrapPeers = f }
 }
 
+// WithSource sets a function that returns the Source of the configuration for the node
+// at a place, which the node follows instead of the store, and the function that closes
+// it.
+func WithSource(f func(mwmemnet.Place) (mwversion.Source, func())) Option {
+	return func(o *options) { o.newSource = f }
+}
+
 // New returns a Cluster without nodes. The returned function stops its nodes
 // and the store.
 func New(opts ...Option) (*Cluster, func()) {
@@ -138,8 +146,15 @@
 	}
 	n.Gossip = g
 	n.cleanups = append(n.cleanups, stop)
-	n.Config, stop, err = mwversion.New(g, peers, mwversion.WithStore(store),
-		mwversion.WithLog(n.c.log), mwversion.WithMetrics(n.Metrics))
+	config := []mwversion.Option{
+		mwversion.WithStore(store), mwversion.WithLog(n.c.log), mwversion.WithMetrics(n.Metrics),
+	}
+	if n.c.newSource != nil {
+		src, closeSource := n.c.newSource(n.Place)
+		n.cleanups = append(n.cleanups, closeSource)
+		config = append(config, mwversion.WithSource(src))
+	}
+	n.Config, stop, err = mwversion.New(g, peers, config...)
 	if err != nil {
 		return err
 	}
