mwsoak: restores of the store, and the promise Current

Cause: the soak could not play a store that comes back from a copy, and its only check of the configuration, Forward, holds for a node that misses a change for good.

Current checks with the probes of Forward that a node has the newest configuration that was acknowledged 2.5 s ago, if there was no fault for 5 s. A run goes on until 6 s after its last fault, so that it is checked at least once. A relay that serves only one version is its planted breach.

--- a/mwsoak/internal/mwcheck/check.go
+++ b/mwsoak/internal/mwcheck/check.go
@@ -33,6 +33,9 @@
 	// Forward: a node does not go back to an older configuration within one
 	// incarnation.
 	Forward Promise = "Forward"
+	// Current: a node serves the newest configuration that was acknowledged longer
+	// ago than Bounds.Apply.
+	Current Promise = "Current"
 	// Recovery: requests are served again after the last fault has ended.
 	Recovery Promise = "Recovery"
 )
@@ -53,6 +56,11 @@
 	// Contact is the time without faults after which Drain is checked: during a
 	// fault and shortly after it, the nodes may not be able to reach each other.
 	Contact time.Duration
+	// Apply is the maximum time from the acknowledgement of a change of the
+	// configuration until it is in force at all nodes; 0 disables the check.
+	Apply time.Duration
+	// Settle is the time without faults after which Apply is checked.
+	Settle time.Duration
 }
 
 // Checker records observed events and the violations found in them. Requests
@@ -67,6 +75,7 @@
 	lastFaultEnd time.Time
 	activeFaults int
 	versions     map[Incarnation]observedVersion
+	changes      []change // changes are in the order of their versions.
 	violations   []Violation
 	broken       map[Promise]int
 	counts       Counts
@@ -129,9 +138,9 @@
 }
 
 // faultFree reports whether no fault is active and the last one ended at least
-// bounds.Contact before at. The caller holds c.mu.
-func (c *Checker) faultFree(at time.Time) bool {
-	return c.activeFaults == 0 && at.Sub(c.lastFaultEnd) >= c.bounds.Contact
+// d before at. The caller holds c.mu.
+func (c *Checker) faultFree(at time.Time, d time.Duration) bool {
+	return c.activeFaults == 0 && at.Sub(c.lastFaultEnd) >= d
 }
 
 // maxViolationsPerPromise is the maximum number of violations of each guarantee
@@ -166,7 +175,7 @@
 	if r.refused {
 		c.addViolation(Refusal, string(id), "ran at %s after its caller was told that it had not run", instance)
 	}
-	if acked, ok := c.leaveAcked[instance]; ok && c.bounds.Drain > 0 && at.Sub(acked) > c.bounds.Drain && c.faultFree(at) {
+	if acked, ok := c.leaveAcked[instance]; ok && c.bounds.Drain > 0 && at.Sub(acked) > c.bounds.Drain && c.faultFree(at, c.bounds.Contact) {
 		c.addViolation(Drain, instance, "got request %s %v after the leave was acknowledged", id, at.Sub(acked))
 	}
 }
@@ -218,7 +227,7 @@
 
 // InForce records that a response showed version in force at a node; sent is when
 // the request was sent. Requests overlap, so an older version is a violation
-// only if its request was sent after the newer version was observed.
+// of Forward only if its request was sent after the newer version was observed.
 func (c *Checker) InForce(inc Incarnation, version int, sent time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -227,6 +236,7 @@
 	if version < s.version && sent.After(s.at) {
 		c.addViolation(Forward, fmt.Sprintf("node %d", inc.Node), "version %d after version %d", version, s.version)
 	}
+	c.checkCurrent(inc, version, sent)
 	if version > s.version {
 		c.versions[inc] = observedVersion{version, time.Now()}
 	}
--- a/mwsoak/internal/mwcheck/check_test.go
+++ b/mwsoak/internal/mwcheck/check_test.go
@@ -11,7 +11,7 @@
 
 func TestPromises(t *testing.T) {
 	now := time.Now()
-	bounds := mwcheck.Bounds{Drain: 2 * time.Second, Contact: 3 * time.Second}
+	bounds := mwcheck.Bounds{Drain: 2 * time.Second, Contact: 3 * time.Second, Apply: 2 * time.Second, Settle: 5 * time.Second}
 	inc := mwcheck.Incarnation{Node: 1, Start: 1}
 	for _, x := range []struct {
 		name string
@@ -76,6 +76,45 @@
 			k.InForce(inc, 3, now)
 			k.InForce(inc, 1, now)
 		}, nil},
+		{"an older configuration just before the limit", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.InForce(inc, 1, now.Add(bounds.Apply))
+			k.NotInForce(inc, 2, now.Add(bounds.Apply))
+		}, nil},
+		{"an older configuration after the limit", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.InForce(inc, 1, now.Add(bounds.Apply+time.Millisecond))
+		}, []mwcheck.Promise{mwcheck.Current}},
+		{"a route that is missing after the limit", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.NotInForce(inc, 2, now.Add(bounds.Apply+time.Millisecond))
+		}, []mwcheck.Promise{mwcheck.Current}},
+		{"the last but one configuration, shortly after a change", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.ChangeAcked(3, now.Add(bounds.Apply))
+			k.InForce(inc, 2, now.Add(bounds.Apply+time.Millisecond))
+			k.NotInForce(inc, 3, now.Add(bounds.Apply+time.Millisecond))
+		}, nil},
+		{"the last but two configuration, shortly after a change", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.ChangeAcked(3, now.Add(bounds.Apply))
+			k.InForce(inc, 1, now.Add(bounds.Apply+time.Millisecond))
+		}, []mwcheck.Promise{mwcheck.Current}},
+		{"an older configuration during a fault", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.Fault()
+			k.InForce(inc, 1, now.Add(bounds.Settle))
+		}, nil},
+		{"an older configuration, soon after a fault", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.Fault()()
+			k.InForce(inc, 1, time.Now().Add(bounds.Settle-time.Second))
+		}, nil},
+		{"an older configuration, long after a fault", func(k *mwcheck.Checker) {
+			k.ChangeAcked(2, now)
+			k.Fault()()
+			k.InForce(inc, 1, time.Now().Add(bounds.Settle))
+		}, []mwcheck.Promise{mwcheck.Current}},
 		{"too few requests served after the faults", func(k *mwcheck.Checker) {
 			k.Recovered(10, 100, 0.5)
 		}, []mwcheck.Promise{mwcheck.Recovery}},
--- a/mwsoak/internal/mwplan/plan.go
+++ b/mwsoak/internal/mwplan/plan.go
@@ -25,6 +25,8 @@
 	Node int
 	// Link is the index of the affected link among those of the node.
 	Link int
+	// Seed selects the details of faults that have more of them.
+	Seed uint64
 }
 
 // Plan is the schedule of one run. Events are in the order of their start.
@@ -53,6 +55,10 @@
 	seriesGap   = 150 * time.Millisecond
 )
 
+// detailStream selects the random stream of Event.Seed. It is not the stream of the rest
+// of the plan, which therefore is the same as without it.
+const detailStream = 1
+
 // New returns the plan of seed for a load of the given length. It draws the
 // faults from kinds, whose order affects the draw and so must be fixed. Each
 // node has the given number of links.
@@ -78,5 +84,9 @@
 		}
 	}
 	slices.SortStableFunc(p.Events, func(a, b Event) int { return cmp.Compare(a.At, b.At) })
+	details := rand.New(rand.NewPCG(uint64(seed), detailStream))
+	for i := range p.Events {
+		p.Events[i].Seed = details.Uint64()
+	}
 	return p
 }
--- a/mwsoak/internal/mwscene/fault.go
+++ b/mwsoak/internal/mwscene/fault.go
@@ -122,9 +122,5 @@
 	onNode("backend-again", func(s *Scene, n *node, e mwplan.Event) { n.crashBackend(e.For, "same") })
 	registerPlanned("backend-leave", func(s *Scene, e mwplan.Event) { s.nodes[e.Node].replaceBackend() })
 
-	registerPlanned("config", func(s *Scene, _ mwplan.Event) {
-		if err := s.configure(); err != nil {
-			panic(err) // Unreachable: the routes of the soak can always be encoded.
-		}
-	})
+	registerPlanned("config", func(s *Scene, _ mwplan.Event) { s.change() })
 }
--- a/mwsoak/internal/mwscene/load.go
+++ b/mwsoak/internal/mwscene/load.go
@@ -93,13 +93,16 @@
 	c := newClient()
 	defer c.CloseIdleConnections()
 	for mwtimer.Sleep(ctx, probePeriod) {
-		s.mu.Lock()
-		v := s.version - rand.N(min(probedVersions, s.version))
-		s.mu.Unlock()
+		v := s.newest()
+		v -= rand.N(min(probedVersions, v))
 		inc, sent := n.incarnation(), time.Now()
 		r := s.send(c, n, versionPath(v), false)
-		if r.Good() && inc == n.incarnation() {
+		switch {
+		case inc != n.incarnation():
+		case r.Good():
 			s.checker.InForce(inc, v, sent)
+		case r.Status == http.StatusNotFound && v == s.newest():
+			s.checker.NotInForce(inc, v, sent)
 		}
 	}
 }
--- a/mwsoak/internal/mwscene/plant.go
+++ b/mwsoak/internal/mwscene/plant.go
@@ -28,6 +28,8 @@
 		h = http.HandlerFunc(r.truncate)
 	case mwcheck.Forward:
 		h = http.HandlerFunc(r.serveStale)
+	case mwcheck.Current:
+		h = http.HandlerFunc(r.missChanges)
 	default:
 		return nil
 	}
@@ -148,3 +150,24 @@
 		return status, b
 	})
 }
+
+// missChanges serves only the route of the version that it served first, so that all
+// later changes seem to be missed.
+func (x *faultyProxy) missChanges(w http.ResponseWriter, r *http.Request) {
+	rest, ok := strings.CutPrefix(r.URL.Path, "/v")
+	version, _, _ := strings.Cut(rest, "/")
+	x.forward(w, r, r.URL.Path, func(status int, b []byte) (int, []byte) {
+		if !ok || status != http.StatusOK {
+			return status, b
+		}
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		if x.servedVersion == "" {
+			x.servedVersion = version
+		}
+		if version != x.servedVersion {
+			return http.StatusNotFound, nil
+		}
+		return status, b
+	})
+}
--- a/mwsoak/internal/mwscene/scene.go
+++ b/mwsoak/internal/mwscene/scene.go
@@ -55,6 +55,7 @@
 	// injecting reports whether the faults of the plan are being injected.
 	// Planted violations happen only then.
 	injecting atomic.Bool
+	restoring sync.Mutex // restoring is held while the store is restored from a copy.
 
 	mu      sync.Mutex
 	fault   mwstandin.Fault // fault is the current fault of the store.
@@ -86,6 +87,8 @@
 	// minRecoveryRatio is the minimum fraction of the requests of a sample that
 	// must be served.
 	minRecoveryRatio = 0.9
+	// currentSample is the time over which the configuration is checked at the end.
+	currentSample = time.Second
 	// settleTime is the wait at the end for work that is still running.
 	settleTime = time.Second
 )
@@ -164,7 +167,8 @@
 	wg.Wait()
 }
 
-// execute runs the load and injects the faults, and then checks the recovery.
+// execute runs the load and injects the faults, and then checks the recovery. The load
+// goes on until the newest configuration has been checked.
 func (s *Scene) execute() error {
 	load, stopLoad := context.WithCancel(s.ctx)
 	defer stopLoad()
@@ -180,6 +184,7 @@
 	s.injecting.Store(false)
 	if err == nil {
 		s.checkRecovery()
+		mwtimer.Sleep(s.ctx, time.Until(s.checker.CurrentAt().Add(currentSample)))
 	}
 	stopLoad()
 	wg.Wait()
@@ -258,11 +263,27 @@
 			Repeatable: repeatable, Timeout: routeTimeout, Attempts: 2,
 		}
 	}
-	return s.store.Configure(s.version, []mwstandin.Route{
+	err := s.store.Configure(s.version, []mwstandin.Route{
 		route("browse", browsePath, serviceA, true),
 		route("order", orderPath, serviceB, false),
 		route("version", versionPath(s.version), serviceA, true),
 	}, []string{serviceA, serviceB})
+	s.checker.ChangeAcked(s.version, time.Now())
+	return err
+}
+
+// change writes the next version of the configuration.
+func (s *Scene) change() {
+	if err := s.configure(); err != nil {
+		panic(err) // Unreachable: the routes of the soak can always be encoded.
+	}
+}
+
+// newest returns the newest version of the configuration.
+func (s *Scene) newest() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.version
 }
 
 // storeFault returns the fault that the store applies to a request.
--- a/mwsoak/main.go
+++ b/mwsoak/main.go
@@ -47,9 +47,11 @@
 	Jobs    int             `long:"jobs" env:"MW_SOAK_JOBS" default:"2" description:"maximum number of concurrent runs"`
 	Logs    string          `long:"logs" env:"MW_SOAK_LOGS" description:"directory for the logs of the nodes; if empty, they are discarded"`
 	Kinds   []mwplan.Kind   `long:"kind" env:"MW_SOAK_KINDS" env-delim:"," description:"kind of fault; may be repeated; all kinds by default"`
-	Plant   mwcheck.Promise `long:"plant" env:"MW_SOAK_PLANT" description:"guarantee to break on purpose: Once, Refusal, Whole, Drain or Forward"`
+	Plant   mwcheck.Promise `long:"plant" env:"MW_SOAK_PLANT" description:"guarantee to break on purpose: Once, Refusal, Whole, Drain, Forward or Current"`
 	Drain   time.Duration   `long:"drain" env:"MW_SOAK_DRAIN" default:"2500ms" description:"maximum time for which a leaving backend server may get requests; 0 disables the check"`
 	Contact time.Duration   `long:"contact" env:"MW_SOAK_CONTACT" default:"3s" description:"time without faults after which the limit of --drain is checked"`
+	Apply   time.Duration   `long:"apply" env:"MW_SOAK_APPLY" default:"2500ms" description:"maximum time until a change of the configuration is in force at all nodes; 0 disables the check"`
+	Settle  time.Duration   `long:"settle" env:"MW_SOAK_SETTLE" default:"5s" description:"time without faults after which the limit of --apply is checked"`
 }
 
 func (s *settings) check() error {
@@ -112,7 +114,7 @@
 			r, err := mwscene.Run(ctx, mwscene.Config{
 				Plan:    mwplan.New(mwplan.Seed(set.First+uint64(i)), kinds, set.Nodes, mwscene.Links, set.Length),
 				Program: set.Program, Logs: set.Logs, Plant: set.Plant,
-				Bounds: mwcheck.Bounds{Drain: set.Drain, Contact: set.Contact},
+				Bounds: mwcheck.Bounds{Drain: set.Drain, Contact: set.Contact, Apply: set.Apply, Settle: set.Settle},
 			})
 			if err != nil {
 				return fmt.Errorf("seed %d: %w", set.First+uint64(i), err)
--- a/mwsoak/main_test.go
+++ b/mwsoak/main_test.go
@@ -50,17 +50,32 @@
 	return rs, cmd.ProcessState.ExitCode()
 }
 
-// TestShortSoak runs two seeds and checks the guarantees that hold at any speed.
-// The time limit of a drain is disabled, since a busy machine could exceed it;
-// runs by hand check it.
+// TestShortSoak runs two seeds, and seeds that failed, and checks the guarantees that
+// hold at any speed. The time limit of a drain is disabled, and those of a change are
+// 10 s, since a busy machine could exceed them; runs by hand check them. A change that
+// is missed is missed for good, so it is found nevertheless.
 func TestShortSoak(t *testing.T) {
-	c := qt.New(t)
-	rs, code := soak(c, build(c), "--first", "1", "--seeds", "2", "--length", "6s", "--drain", "0")
-	c.Check(code, qt.Equals, 0)
-	c.Assert(rs, qt.HasLen, 2)
-	for _, r := range rs {
-		c.Check(r.Violations, qt.HasLen, 0, qt.Commentf("seed %d", r.Seed))
-		c.Check(r.Counts.Good > 0 && r.Counts.Versions > 0, qt.IsTrue, qt.Commentf("seed %d: %+v", r.Seed, r.Counts))
+	dir := build(qt.New(t))
+	for _, x := range []struct {
+		name  string
+		seeds int
+		args  []string
+	}{
+		{"all kinds", 2, []string{"--first", "1", "--length", "6s"}},
+		{"a restored store, seed 3", 1, []string{"--first", "3", "--kind", "config", "--kind", "store-restore"}},
+		{"a restored store, seed 8", 1, []string{"--first", "8", "--kind", "config", "--kind", "store-restore"}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			c := qt.New(t)
+			rs, code := soak(c, dir, append(x.args, "--seeds", fmt.Sprint(x.seeds), "--drain", "0", "--apply", "10s", "--settle", "10s")...)
+			c.Check(code, qt.Equals, 0)
+			c.Assert(rs, qt.HasLen, x.seeds)
+			for _, r := range rs {
+				c.Check(r.Violations, qt.HasLen, 0, qt.Commentf("seed %d", r.Seed))
+				c.Check(r.Counts.Good > 0 && r.Counts.Versions > 0, qt.IsTrue, qt.Commentf("seed %d: %+v", r.Seed, r.Counts))
+			}
+		})
 	}
 }
 
@@ -74,7 +89,7 @@
 func TestSoakFindsWhatIsPlanted(t *testing.T) {
 	c := qt.New(t)
 	dir := build(c)
-	for _, promise := range []string{"Once", "Refusal", "Whole", "Drain", "Forward"} {
+	for _, promise := range []string{"Once", "Refusal", "Whole", "Drain", "Forward", "Current"} {
 		t.Run(promise, func(t *testing.T) {
 			t.Parallel()
 			c := qt.New(t)
