--- a/mwsoak/main_test.go
+++ b/mwsoak/main_test.go
@@ -66,7 +66,6 @@
 		{"a restored store, seed 8", 1, []string{"--first", "8", "--kind", "config", "--kind", "store-restore"}},
 	} {
 		t.Run(x.name, func(t *testing.T) {
-			t.Parallel()
 			c := qt.New(t)
 			rs, code := soak(c, dir, append(x.args, "--seeds", fmt.Sprint(x.seeds), "--drain", "0", "--apply", "10s", "--settle", "10s")...)
 			c.Check(code, qt.Equals, 0)
