--- a/mwlib/mwlease/restore_test.go
+++ b/mwlib/mwlease/restore_test.go
@@ -24,6 +24,15 @@
 	return mwcode.CodeOf(err)
 }
 
+// forgetHolder acquires the lease and, after d, brings back the state of s before that.
+func forgetHolder(c *qt.C, s *mwfakestore.Store, d time.Duration) (*mwlease.Lease, func()) {
+	before := s.Copy()
+	l, release := acquire(c, s)
+	time.Sleep(d)
+	s.Restore(before)
+	return l, release
+}
+
 // A holder must not lose its lease because the store no longer has its last renewals.
 func TestHolderWhoseRenewalsWereLost(t *testing.T) {
 	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
@@ -42,9 +51,7 @@
 // later holder, which got the same revisions.
 func TestHolderWhoseRevisionsWereGivenOutAgain(t *testing.T) {
 	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
-		empty := s.Copy()
-		a, releaseA := acquire(c, s)
-		s.Restore(empty)
+		a, releaseA := forgetHolder(c, s, 0)
 		b, releaseB := acquire(c, s)
 		defer releaseB()
 		c.Check(commitFenced(s, a), qt.Equals, mwcode.Conflict)
@@ -131,11 +138,8 @@
 // Nobody must get a lease that the copy shows as free while its holder counts it as held.
 func TestHolderThatTheCopyDoesNotKnow(t *testing.T) {
 	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
-		empty := s.Copy()
-		a, releaseA := acquire(c, s)
+		a, releaseA := forgetHolder(c, s, time.Second)
 		defer releaseA()
-		time.Sleep(time.Second)
-		s.Restore(empty)
 		_, releaseB := acquire(c, s)
 		defer releaseB()
 		c.Check(mwcode.CodeOf(a.Held()), qt.Equals, mwcode.LeaseLost)
@@ -145,10 +149,8 @@
 // Tokens increase with each holder, also if the store came back from a copy.
 func TestTokenOfALaterHistory(t *testing.T) {
 	inStore(t, func(c *qt.C, s *mwfakestore.Store) {
-		empty := s.Copy()
-		a, releaseA := acquire(c, s)
+		a, releaseA := forgetHolder(c, s, 0)
 		defer releaseA()
-		s.Restore(empty)
 		time.Sleep(time.Minute)
 		b, releaseB := acquire(c, s)
 		defer releaseB()
--- a/mwlib/mwoperator/restore_test.go
+++ b/mwlib/mwoperator/restore_test.go
@@ -10,19 +10,25 @@
 	"mustardwheel.example/mwlib/mwoperator"
 )
 
+// newForgetfulOperator returns an Operator and a function that brings its store back from
+// an empty copy.
+func newForgetfulOperator(t *testing.T) (o *mwoperator.Operator, forget func()) {
+	s := newStore(t)
+	empty := s.Copy()
+	return mwoperator.New(s), func() { s.Restore(empty) }
+}
+
 // An operator must not replace a document that they did not see because the store came
 // back from a copy and gave the expected revision to it.
 func TestExpectedRevisionThatWasGivenOutAgain(t *testing.T) {
 	c := qt.New(t)
 	ctx := t.Context()
-	s := newStore(t)
-	o := mwoperator.New(s)
-	empty := s.Copy()
+	o, forget := newForgetfulOperator(t)
 	_, err := o.Apply(ctx, "op-1", "eva", edit("p", 1, 0))
 	c.Assert(err, qt.IsNil)
 	seen, err := o.Get(ctx, mwconfig.KindPolicy, "p")
 	c.Assert(err, qt.IsNil)
-	s.Restore(empty)
+	forget()
 	_, err = o.Apply(ctx, "op-2", "ole", edit("p", 2, 0))
 	c.Assert(err, qt.IsNil)
 	_, err = o.Apply(ctx, "op-3", "eva", edit("p", 3, seen.Revision))
@@ -33,12 +39,10 @@
 func TestOperationThatTheCopyDoesNotKnow(t *testing.T) {
 	c := qt.New(t)
 	ctx := t.Context()
-	s := newStore(t)
-	o := mwoperator.New(s)
-	empty := s.Copy()
+	o, forget := newForgetfulOperator(t)
 	want, err := o.Apply(ctx, "op-1", "eva", edit("p", 1, 0))
 	c.Assert(err, qt.IsNil)
-	s.Restore(empty)
+	forget()
 	for range 2 {
 		got, err := o.Apply(ctx, "op-1", "eva", edit("p", 1, 0))
 		c.Assert(err, qt.IsNil)
