--- a/mwlib/mwmember/cluster_test.go
+++ b/mwlib/mwmember/cluster_test.go
@@ -8,7 +8,6 @@
 	qt "github.com/frankban/quicktest"
 
 	"mustardwheel.example/mwlib/mwcluster"
-	"mustardwheel.example/mwlib/mwid"
 	"mustardwheel.example/mwlib/mwmemnet"
 )
 
@@ -61,42 +60,11 @@
 	cl.t.Logf("%s: after %v", what, time.Since(start))
 }
 
-// onAll returns a condition that reports whether ok holds for each node of
-// ns.
-func onAll(ns []*mwcluster.Node, ok func(*mwcluster.Node) bool) func() bool {
-	return func() bool {
-		for _, n := range ns {
-			if !ok(n) {
-				return false
-			}
-		}
-		return true
-	}
-}
-
 // waitSettled waits until each node knows all others as up.
 func (cl *cluster) waitSettled(limit time.Duration) {
 	cl.t.Helper()
 	ns := cl.Nodes()
-	cl.waitFor(limit, "every node knows all others as up", onAll(ns, func(n *mwcluster.Node) bool {
+	cl.waitFor(limit, "every node knows all others as up", mwcluster.OnAll(ns, func(n *mwcluster.Node) bool {
 		return n.CountLive() == len(ns)
 	}))
 }
-
-// partition returns a function for SetLoss that loses all messages from side to
-// the other side, and those in the other direction too if both is true.
-func partition(both bool, side func(mwmemnet.Place) bool) func(from, to mwmemnet.Place) bool {
-	return func(from, to mwmemnet.Place) bool {
-		return side(from) && !side(to) || both && side(to) && !side(from)
-	}
-}
-
-// inZone returns a function that reports whether a place is in zone z.
-func inZone(z mwid.ZoneName) func(mwmemnet.Place) bool {
-	return func(p mwmemnet.Place) bool { return p.Zone == z }
-}
-
-// inRegion returns a function that reports whether a place is in region r.
-func inRegion(r mwid.RegionName) func(mwmemnet.Place) bool {
-	return func(p mwmemnet.Place) bool { return p.Region == r }
-}
--- a/mwlib/mwmember/gossip_test.go
+++ b/mwlib/mwmember/gossip_test.go
@@ -40,7 +40,7 @@
 				cl.Net.SetLoss(func(_, _ mwmemnet.Place) bool { return cl.Net.Chance(test.loss) })
 				gone := cl.Nodes()[test.i]
 				gone.Leave()
-				cl.waitFor(3*time.Second, "leaver known", onAll(cl.Nodes(), hasState(gone.ID, mwcall.Leaving)))
+				cl.waitFor(3*time.Second, "leaver known", mwcluster.OnAll(cl.Nodes(), hasState(gone.ID, mwcall.Leaving)))
 			})
 		})
 	}
@@ -74,7 +74,7 @@
 		cl.waitSettled(30 * time.Second)
 		gone := cl.Nodes()[3]
 		mwcluster.Crash(gone)
-		cl.waitFor(10*time.Second, "death known", onAll(cl.Nodes(), knowsNone(gone.ID)))
+		cl.waitFor(10*time.Second, "death known", mwcluster.OnAll(cl.Nodes(), knowsNone(gone.ID)))
 	})
 }
 
@@ -83,7 +83,7 @@
 		cl.waitSettled(30 * time.Second)
 		gone := cl.Nodes()[3]
 		gone.Stop()
-		cl.waitFor(time.Second, "departure known", onAll(cl.Nodes(), knowsNone(gone.ID)))
+		cl.waitFor(time.Second, "departure known", mwcluster.OnAll(cl.Nodes(), knowsNone(gone.ID)))
 	})
 }
 
@@ -93,8 +93,8 @@
 		old := cl.Nodes()[2]
 		mwcluster.Crash(old)
 		x := cl.start(old.Place)
-		cl.waitFor(3*time.Second, "new boot known", onAll(cl.Nodes(), hasState(x.ID, mwcall.Up)))
-		cl.waitFor(3*time.Second, "old boot dead", onAll(cl.Nodes(), knowsNone(old.ID)))
+		cl.waitFor(3*time.Second, "new boot known", mwcluster.OnAll(cl.Nodes(), hasState(x.ID, mwcall.Up)))
+		cl.waitFor(3*time.Second, "old boot dead", mwcluster.OnAll(cl.Nodes(), knowsNone(old.ID)))
 	})
 }
 
@@ -105,20 +105,20 @@
 		side func(mwmemnet.Place) bool
 		cut  time.Duration
 	}{
-		{"zone", true, inZone("zone-a"), time.Minute},
-		{"region", true, inRegion("region-0"), 15 * time.Minute},
-		{"zone that can't send", false, inZone("zone-a"), time.Minute},
+		{"zone", true, mwcluster.InZone("zone-a"), time.Minute},
+		{"region", true, mwcluster.InRegion("region-0"), 15 * time.Minute},
+		{"zone that can't send", false, mwcluster.InZone("zone-a"), time.Minute},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			run(t, 4, 5, func(cl *cluster) {
 				cl.waitSettled(30 * time.Second)
-				cl.Net.SetLoss(partition(test.both, test.side))
-				cl.waitFor(8*time.Second, "the other side is unreachable", onAll(cl.Nodes(), func(n *mwcluster.Node) bool {
+				cl.Net.SetLoss(mwcluster.Partition(test.both, test.side))
+				cl.waitFor(8*time.Second, "the other side is unreachable", mwcluster.OnAll(cl.Nodes(), func(n *mwcluster.Node) bool {
 					return cl.seesPartition(n, test.side)
 				}))
 				advance(test.cut)
-				cl.c.Assert(onAll(cl.Nodes(), func(n *mwcluster.Node) bool {
+				cl.c.Assert(mwcluster.OnAll(cl.Nodes(), func(n *mwcluster.Node) bool {
 					return cl.seesPartition(n, test.side) && len(n.Targets(mwcluster.Service)) == len(cl.Nodes())
 				})(), qt.IsTrue)
 				cl.Net.SetLoss(nil)
@@ -155,7 +155,7 @@
 		cl.waitSettled(15 * time.Second)
 		last := cl.Nodes()[0]
 		last.Leave()
-		cl.waitFor(3*time.Second, "leaver known", onAll(cl.Nodes(), hasState(last.ID, mwcall.Leaving)))
+		cl.waitFor(3*time.Second, "leaver known", mwcluster.OnAll(cl.Nodes(), hasState(last.ID, mwcall.Leaving)))
 	})
 }
 
@@ -204,7 +204,7 @@
 		}
 		t.Logf("at most %d others were not up", maxDown)
 		cl.c.Check(maxDown <= 1, qt.IsTrue)
-		cl.c.Check(onAll(rest, knowsNone(x.ID))(), qt.IsTrue)
+		cl.c.Check(mwcluster.OnAll(rest, knowsNone(x.ID))(), qt.IsTrue)
 		cl.Net.SetLoss(nil)
 		cl.waitSettled(2 * time.Minute)
 	})
--- a/mwlib/mwmember/loss_test.go
+++ b/mwlib/mwmember/loss_test.go
@@ -45,12 +45,12 @@
 func TestZoneIsLostAndReplaced(t *testing.T) {
 	runLoss(t, func(cl *cluster, large []*mwcluster.Node) {
 		mwcluster.Crash(large...)
-		cl.waitFor(8*time.Second, "lost zone is unreachable", onAll(cl.Nodes(), hasState(large[7].ID, mwcall.Unreachable)))
+		cl.waitFor(8*time.Second, "lost zone is unreachable", mwcluster.OnAll(cl.Nodes(), hasState(large[7].ID, mwcall.Unreachable)))
 		rest := cl.Nodes()
 		for _, n := range large {
 			cl.start(n.Place)
 		}
-		cl.waitFor(30*time.Second, "old boots are dead", onAll(cl.Nodes(), knowsNone(idsOf(large)...)))
+		cl.waitFor(30*time.Second, "old boots are dead", mwcluster.OnAll(cl.Nodes(), knowsNone(idsOf(large)...)))
 		cl.waitSettled(30 * time.Second)
 		for _, n := range rest {
 			cl.c.Check(n.Metrics.GetOrCreateCounter("mw_member_refutations_total").Get(), qt.Equals, uint64(0))
@@ -62,7 +62,7 @@
 	runLoss(t, func(cl *cluster, large []*mwcluster.Node) {
 		lost := large[:largeZone*4/5]
 		mwcluster.Crash(lost...)
-		cl.waitFor(60*time.Second, "lost nodes are dead", onAll(cl.Nodes(), knowsNone(idsOf(lost)...)))
+		cl.waitFor(60*time.Second, "lost nodes are dead", mwcluster.OnAll(cl.Nodes(), knowsNone(idsOf(lost)...)))
 		cl.waitSettled(5 * time.Second)
 	})
 }
@@ -75,7 +75,7 @@
 		for _, n := range old {
 			cl.start(n.Place)
 		}
-		cl.waitFor(10*time.Second, "old boots are dead", onAll(cl.Nodes(), knowsNone(idsOf(old)...)))
+		cl.waitFor(10*time.Second, "old boots are dead", mwcluster.OnAll(cl.Nodes(), knowsNone(idsOf(old)...)))
 		cl.waitSettled(10 * time.Second)
 	})
 }
--- a/mwlib/mwversion/cluster_test.go
+++ b/mwlib/mwversion/cluster_test.go
@@ -87,7 +87,7 @@
 func (cl *cluster) waitForVersion(limit time.Duration, v mwid.Version, ns []*mwcluster.Node) {
 	cl.t.Helper()
 	start := time.Now()
-	for !inForce(v, ns) {
+	for !mwcluster.InForce(v, ns) {
 		if time.Since(start) > limit {
 			cl.t.Fatalf("version %d is not in force at each of the %d nodes after %v", v, len(ns), limit)
 		}
@@ -95,30 +95,3 @@
 	}
 	cl.t.Logf("version %d is in force at %d nodes after %v", v, len(ns), time.Since(start))
 }
-
-func inForce(v mwid.Version, ns []*mwcluster.Node) bool {
-	for _, n := range ns {
-		if n.Version() < v {
-			return false
-		}
-	}
-	return true
-}
-
-// cut returns a loss function that drops all messages between zone z and the
-// other zones.
-func cut(z mwid.ZoneName) func(from, to mwmemnet.Place) bool {
-	return func(from, to mwmemnet.Place) bool { return (from.Zone == z) != (to.Zone == z) }
-}
-
-// split returns the nodes of zone z and the nodes of the other zones.
-func (cl *cluster) split(z mwid.ZoneName) (in, out []*mwcluster.Node) {
-	for _, n := range cl.Nodes() {
-		if n.Place.Zone == z {
-			in = append(in, n)
-			continue
-		}
-		out = append(out, n)
-	}
-	return in, out
-}
--- a/mwlib/mwversion/fanout_test.go
+++ b/mwlib/mwversion/fanout_test.go
@@ -59,13 +59,13 @@
 			run(t, 4, 5, func(cl *cluster) {
 				cl.waitForVersion(propagationLimit, cl.apply("p", 1), cl.Nodes())
 				isCut.Store(test.store)
-				cl.Net.SetLoss(cut("zone-c"))
+				cl.Net.SetLoss(mwcluster.Partition(true, mwcluster.InZone("zone-c")))
 				advance(time.Minute)
-				in, out := cl.split("zone-c")
+				in, out := cl.Split("zone-c")
 				v := cl.apply("p", 2)
 				cl.waitForVersion(propagationLimit, v, out)
 				advance(propagationLimit)
-				cl.c.Assert(inForce(v, in), qt.Equals, !test.store)
+				cl.c.Assert(mwcluster.InForce(v, in), qt.Equals, !test.store)
 				cl.Net.SetLoss(nil)
 				cl.waitForVersion(propagationLimit, v, in)
 			}, mwcluster.WithStoreWrapper(func(s mwstore.Store, p mwmemnet.Place) mwstore.Store {
@@ -84,7 +84,7 @@
 		cl.waitForVersion(propagationLimit, v, cl.Nodes())
 		cl.Store.SetFaults(unavailable)
 		advance(10 * time.Minute)
-		cl.c.Assert(inForce(v, cl.Nodes()), qt.IsTrue)
+		cl.c.Assert(mwcluster.InForce(v, cl.Nodes()), qt.IsTrue)
 		for _, n := range cl.Nodes()[:9] { // All nodes but one are replaced, one at a time.
 			mwcluster.Crash(n)
 			x := cl.start(n.Place)
--- a/mwlib/mwversion/random_test.go
+++ b/mwlib/mwversion/random_test.go
@@ -26,8 +26,10 @@
 
 // actions maps the name of an action to its function.
 var actions = map[string]func(s *schedule, n int){
-	"apply":       func(s *schedule, n int) { s.apply(n) },
-	"cut":         func(s *schedule, n int) { s.cl.Net.SetLoss(cut(mwcluster.PlaceOf(n%zones, 0).Zone)) },
+	"apply": func(s *schedule, n int) { s.apply(n) },
+	"cut": func(s *schedule, n int) {
+		s.cl.Net.SetLoss(mwcluster.Partition(true, mwcluster.InZone(mwcluster.PlaceOf(n%zones, 0).Zone)))
+	},
 	"heal":        func(s *schedule, _ int) { s.cl.Net.SetLoss(nil) },
 	"unavailable": func(s *schedule, _ int) { s.cl.Store.SetFaults(unavailable) },
 	"stale":       func(s *schedule, _ int) { s.cl.Store.SetFaults(mwfakestore.Faults{Stale: 0.5}) },
