--- a/mwnode/process_test.go
+++ b/mwnode/process_test.go
@@ -199,7 +199,19 @@
 	return s
 }
 
-func (s *system) startStore() { s.process = start(s.c, "mwplatform", "--listen", string(s.store)) }
+// startStore starts the store and waits until it accepts connections.
+func (s *system) startStore() {
+	s.c.Helper()
+	s.process = start(s.c, "mwplatform", "--listen", string(s.store))
+	eventually(s.c, "the store", func() bool {
+		conn, err := net.Dial("tcp", string(s.store))
+		if err != nil {
+			return false
+		}
+		conn.Close()
+		return true
+	})
+}
 
 // startNode runs a node that joins the running nodes.
 func (s *system) startNode(zone string) *node {
